Count broken connections in a row before a server counts as dead

A process that died refuses the next connect; only that now says it is gone. What broke is sent again to where its key is.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -29,6 +29,7 @@
 UNKNOWN = 63  # the age of keys that are not remembered
 ENOUGH = 4  # likely misses whose fate tells a healthy origin
 TAIL = 1 / 16  # part of its likely misses that even a healthy origin may answer slowly
+BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
 
 
@@ -194,7 +195,9 @@
     held: float = 1.0  # moving average of the attempts this router had out meanwhile
     out: int = 0
     sent_at: int = 0
-    fails: int = 0  # connections failed or broken in a row
+    fails: int = 0  # connects failed in a row, or attempts broken past BREAKS
+    refusals: int = 0  # connects failed among them
+    breaks: int = 0  # attempts in a row that broke after they were sent
     down_since: int = 0
     down_until: int = 0
     budget: Bank = field(default_factory=Bank)  # of what it may be sent while it warms up
@@ -681,6 +684,8 @@
         key, status = job.request.key, event.status
         if status in NEVER_RAN:
             job.live.pop(event.attempt, None)
+        elif status is api.Status.RESET:
+            job.tried.discard(event.server)  # the key is still there, and another connection leads to it
         # Guards against a slow origin behind the caches: what one could not fetch, no other should try.
         late = self.now >= job.due and not job.spec.late_worth
         unfetched = status is api.Status.ERROR and not self.settings.aside and not job.request.write
@@ -713,21 +718,28 @@
         status, load = event.status, event.load
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.now
-        failed = status in (api.Status.CONNECT_FAILED, api.Status.RESET)
+        refused = status is api.Status.CONNECT_FAILED
+        answered = status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR)
         if not server.linked and not server.fails and event.elapsed < self.settings.connect_timeout:
-            self.crowded += (failed - self.crowded) * SMOOTHING
-        server.linked = not failed
+            self.crowded += (refused - self.crowded) * SMOOTHING
+        server.linked = not refused
+        # Guards against a network that breaks connections: one that broke says nothing of the process. One
+        # that died refuses the next connect.
+        server.breaks = server.breaks + 1 if status is api.Status.RESET else server.breaks * (not answered)
+        failed = refused or (status is api.Status.RESET and server.breaks >= BREAKS)
         if failed:
             if not server.fails:
                 server.down_since = self.now
                 self.actions.append(api.Log(f"server {event.server} unreachable"))
             server.fails += 1
+            server.refusals += refused
             wait = self.settings.connect_timeout << min(server.fails, 4)
             server.down_until = self.now + int(wait * self.random.uniform(0.5, 1))
-        elif server.fails and status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR):
-            server.fails = 0
+        elif server.fails and answered:
             self.actions.append(api.Log(f"server {event.server} answers again"))
-            if self.now - server.down_since > SECOND and self.crowded <= 1 / 2:
+            away = server.refusals > 1 and self.now - server.down_since > SECOND
+            server.fails = server.refusals = 0
+            if away and self.crowded <= 1 / 2:
                 server.cold_since = self.now  # a process that died comes back cold, before the list tells
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
         full, missed = status is api.Status.FULL, status is api.Status.MISS
--- a/tests/support.py
+++ b/tests/support.py
@@ -103,6 +103,18 @@
         assert isinstance(first, api.Send)
         return first.server
 
+    def die(self, key: str) -> api.Action:
+        """Lets the owner of a key die with its attempt out; gives that Send."""
+        _, (first,) = self.ask(key)
+        name = self.candidates(key)[0].member.server
+        (again,) = self.end(first, api.Status.RESET)
+        self.end(again, api.Status.CONNECT_FAILED, 1)
+        self.wait(SECOND)
+        _, (trial,) = self.ask(key)
+        assert isinstance(trial, api.Send) and trial.server == name
+        self.end(trial, api.Status.CONNECT_FAILED)
+        return first
+
     def throttle_on(self) -> None:
         """Makes the origin fail until the monitor acts."""
         for n in range(6):
