--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -115,7 +115,9 @@
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    level = os.environ.get("APPLEHUB_LOG", "INFO")
+    logging.basicConfig(stream=sys.stderr, level=level, format="%(asctime)s %(levelname)s %(message)s")
+    logging.getLogger("asyncio").setLevel(logging.INFO)
     try:
         told = read_configuration(os.environ.get("BALANCER_CONFIG"))
         gc.freeze()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -74,6 +74,7 @@
         until = min(until, self.stop_at or until)
         held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
         self.held_bytes += call.size
+        log.debug("%s taken: %s, %d ms", name, call.info.decode(), (until - now) // MILLI)
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
@@ -83,6 +84,7 @@
     def withdraw(self, held: Held) -> None:
         """The client has left. Its attempt runs on: the connection stays of use."""
         if held.open:
+            log.debug("%s withdrawn", held.id)
             self._close(held)
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
@@ -196,6 +198,8 @@
 
     def _outcome(self, attempt: Attempt, ending: Ending) -> None:
         held, elapsed = attempt.held, time.monotonic_ns() - attempt.sent
+        of, where, how = attempt.number, attempt.server, ending.status
+        log.debug("%s attempt %d at %s: %s after %.1f ms", held.id, of, where, how, elapsed / MILLI)
         self._tell(
             api.Outcome(
                 held.id, attempt.number, attempt.server, ending.status, not held.open, elapsed, ending.note
@@ -203,6 +207,7 @@
         )
 
     def _answer(self, held: Held, answer: bytes) -> None:
+        log.debug("%s answered: %.16r", held.id, answer)
         self._close(held)
         held.reply(answer)
 
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -85,16 +85,21 @@
 
     def spoil(self) -> None:
         """What came can't be read: the attempt is reset and the connection of no further use."""
+        log.debug("%s: an answer of %s:%d can't be read", self._asked(), *self.pool.endpoint)
         self.finish(Ending(Status.RESET), reusable=False)
 
     def lost(self) -> None:
         """The connection is gone or never came up."""
         status = Status.CONNECT_FAILED if self.unsent else Status.RESET
+        log.debug("%s: the connection to %s:%d is lost", self._asked(), *self.pool.endpoint)
         self.pool.drop(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.done(Ending(status))
 
+    def _asked(self) -> str:
+        return self.exchange.call.id.decode() if self.exchange is not None else "nothing asked"
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(0)  # so that every byte that waits here is told
