Follow discovery to its new address on SIGHUP instead of ending

A watch that is on begins anew at the address in the file; a file that can't be read changes nothing.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -81,7 +81,18 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
-async def serve(told: Configuration) -> None:
+def reload(path: str | None, watch: Watch) -> None:
+    """Takes up what may change while the router runs: the address of discovery."""
+    try:
+        endpoint = read_configuration(path).discovery
+    except ConfigurationError as problem:
+        log.error("told to reload, but the configuration is of no use: %s", problem)
+        return
+    log.info("told to reload: discovery at %s:%d", *endpoint)
+    watch.move(endpoint)
+
+
+async def serve(told: Configuration, path: str | None = None) -> None:
     """Runs the router until it is told to stop and holds nothing more."""
     stopping, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -91,6 +102,7 @@
     origin_kind = told.settings.origin_kind if told.settings.aside else -1
     directory = Directory(told.names, origin_kind, pools, driver.members)
     watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
+    loop.add_signal_handler(signal.SIGHUP, reload, path, watch)
     driver.watch = watch.start
     clients.can_serve = lambda: directory.can_serve
     try:
@@ -118,10 +130,12 @@
     level = os.environ.get("APPLEHUB_LOG", "INFO")
     logging.basicConfig(stream=sys.stderr, level=level, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger("asyncio").setLevel(logging.INFO)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a watch to move
+    path = os.environ.get("BALANCER_CONFIG")
     try:
-        told = read_configuration(os.environ.get("BALANCER_CONFIG"))
+        told = read_configuration(path)
         gc.freeze()
-        asyncio.run(serve(told))
+        asyncio.run(serve(told, path))
     except ConfigurationError as problem:
         print(f"applehub: {problem}", file=sys.stderr)
         return 2
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -191,6 +191,16 @@
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self._run())
 
+    def move(self, endpoint: Endpoint) -> None:
+        """Discovery is elsewhere from now on: a watch that is on begins anew there, at once."""
+        if endpoint == self.endpoint:
+            return
+        self.endpoint = endpoint
+        if self.task is not None:
+            self.stop()
+            self.task = None
+            self.start()
+
     def stop(self) -> None:
         if self.task is not None:
             self.task.cancel()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -225,6 +225,34 @@
         assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
 
 
+async def test_on_sighup_the_program_asks_discovery_where_it_is_now(tmp_path: Path) -> None:
+    """A router that SIGHUP ended had crashed; one that stayed with the old address heard nothing more."""
+    known = http(200, json.dumps(listing(1)).encode())
+    old = Web(lambda asked, line: known if len(old.got) == 1 else None)
+    new = Web(lambda asked, line: None)
+    await old.start()
+    await new.start()
+    running = await program(configuration(tmp_path, discovery=old.address))
+    assert running.stderr is not None
+    await soon(lambda: old.got)
+    (tmp_path / "config.json").write_text("no configuration")
+    running.send_signal(signal.SIGHUP)
+    async with asyncio.timeout(PATIENCE):
+        while line := await running.stderr.readline():
+            if b"the configuration is of no use" in line:
+                break
+    configuration(tmp_path, discovery=new.address)
+    running.send_signal(signal.SIGHUP)
+    drain = asyncio.create_task(running.stderr.read())
+    await soon(lambda: new.got or running.returncode is not None)
+    assert new.got[0][:2] == (b"GET", b"/api/targets")
+    running.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(running.wait(), PATIENCE) == 0
+    await drain
+    for web in (old, new):
+        await web.stop()
+
+
 async def test_the_program_serves_and_on_sigterm_answers_what_it_holds(tmp_path: Path) -> None:
     cache = Cache(lambda asked, line: None if asked[2] == b"slow" else hit())
     await cache.start()
