Let the longest idle client make room, and close peers that ask nothing

Half of the descriptors are places for clients. Now the one that has idled longest, two seconds at least, makes room.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -15,6 +15,8 @@
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
 MOST_BUFFERED = 32 << 20  # bytes of all connections that clients have not finished sending or reading
 STUCK = 10.0  # s for which a client may leave answers unread
+PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
+IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
 log = logging.getLogger("applehub")
 
@@ -48,14 +50,19 @@
         self.advancing = self.blocked = self.lingering = False
         self.buffered = 0
         self.stuck: asyncio.TimerHandle | None = None
+        self.late: asyncio.TimerHandle | None = None
+        self.proven = False  # it has sent a whole command
+        self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        if len(self.server.open) >= self.server.most:
+        if not self.server.room():
+            log.warning("a client is turned away: %d are connected", len(self.server.open))
             self.transport.write(resp.error("max number of clients reached"))
             self.transport.close()
             return
         self.server.open.add(self)
+        self._await_command()
 
     def data_received(self, data: bytes) -> None:
         if self.last:
@@ -66,8 +73,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.server.gone(self)
-        if self.stuck is not None:
-            self.stuck.cancel()
+        for timer in (self.stuck, self.late):
+            if timer is not None:
+                timer.cancel()
         slots, self.slots = self.slots, deque()
         for slot in slots:
             if slot.held is not None:
@@ -84,6 +92,22 @@
             self.stuck.cancel()
         self.advance()
 
+    def _await_command(self) -> None:
+        """Limits the time for a command. Guards the places of clients against peers that send nothing, or
+        a part: a connection with nothing in work and no whole command is worth none."""
+        waits = not self.slots and not self.last and (not self.proven or bool(self.frames.buffer))
+        if waits and self.late is None:
+            self.late = asyncio.get_running_loop().call_later(PROMPT, self._too_late)
+        elif not waits and self.late is not None:
+            self.late.cancel()
+            self.late = None
+
+    def _too_late(self) -> None:
+        log.info("a peer is closed that sent no whole command in time")
+        self.last = True
+        self._put(resp.error("Protocol error: no whole command in time"))
+        self.advance()
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -105,7 +129,15 @@
         elif not self.slots and self.server.closing:
             self.transport.close()
         else:
+            self.idle_since = asyncio.get_running_loop().time()
             self._steer()
+            self._await_command()
+
+    def make_room(self) -> None:
+        """Ends this idle connection in favour of another."""
+        self.server.open.discard(self)
+        if self.transport is not None:
+            self.transport.close()
 
     def _linger(self) -> None:
         """Ends the sending and reads on for a while. Guards the last answer: a close with bytes unread is a
@@ -114,6 +146,7 @@
         self.lingering = True
         self.frames.buffer.clear()
         self._steer()
+        self._await_command()
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER, self._abort)
@@ -162,8 +195,7 @@
         except CallError as problem:
             self._put(resp.error(str(problem)))
             return
-        slot = Slot(self)
-        self.slots.append(slot)
+        slot = self._slot()
         try:
             held = self.server.driver.take(call, slot.fill)
             slot.held = held if slot.answer is None else None
@@ -172,9 +204,13 @@
             slot.fill(resp.FAILED)
 
     def _put(self, answer: bytes) -> None:
+        self._slot().answer = answer
+
+    def _slot(self) -> Slot:
         slot = Slot(self)
-        slot.answer = answer
         self.slots.append(slot)
+        self.proven = True
+        return slot
 
     def _steer(self) -> None:
         """Reads on or stops reading. Guards memory against clients that send much or read nothing."""
@@ -209,6 +245,18 @@
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
+    def room(self) -> bool:
+        """Whether one more connection may stay; the longest idle one makes room for it."""
+        if len(self.open) < self.most:
+            return True
+        before = asyncio.get_running_loop().time() - IDLE_LEAST
+        idle = [one for one in self.open if one.idle_since < before and not one.slots and one.proven]
+        oldest = min(idle, key=lambda one: one.idle_since, default=None)
+        if oldest is None:
+            return False
+        oldest.make_room()
+        return True
+
     def gone(self, client: Client) -> None:
         self.open.discard(client)
         self.buffered -= client.buffered
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,10 +7,10 @@
 
 import hiredis
 import pytest
-from peers import MISS, Cache, Web, entry, hit, http, router, soon
+from peers import MISS, PATIENCE, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
-from applehub.node import resp
+from applehub.node import clients, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import WAY_BACK, Held
 
@@ -258,8 +258,6 @@
 
 
 async def test_a_reader_that_takes_nothing_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
-    from applehub.node import clients
-
     monkeypatch.setattr(clients, "STUCK", 0.2)
     async with router(lambda asked, line: hit(bytes(resp.MOST_VALUE))) as bench:
         caller = await bench.caller()
@@ -451,7 +449,58 @@
             gc.enable()
 
 
-async def test_a_client_too_many_is_told_so_and_its_place_is_free_again_later() -> None:
+@pytest.mark.parametrize(
+    "sent", [b"", b"*4\r\n$5\r\nC.GET\r\n$1\r\n", b"*0\r\n", b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"]
+)
+async def test_a_peer_that_sends_no_whole_command_in_time_is_told_so_and_closed(
+    monkeypatch: pytest.MonkeyPatch, sent: bytes
+) -> None:
+    """The terms owe such a peer an error or a close within 3 s; it got neither and kept its place."""
+    monkeypatch.setattr(clients, "PROMPT", 0.05)
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(sent)
+        if b"PING" in sent:
+            assert await caller.answer() == b"PONG"
+        assert str(await caller.answer()) == "ERR Protocol error: no whole command in time"
+        assert await caller.answer() is None
+        await soon(lambda: not bench.clients.open)
+
+
+async def test_a_peer_whose_request_is_in_work_or_done_is_left_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PROMPT", 0.05)
+    async with router(lambda asked, line: None) as bench:
+        caller = await bench.caller()
+        caller.get()
+        await soon(lambda: bench.cache.got)
+        (client,) = bench.clients.open
+        assert client.late is None
+        bench.cache.lines[0].write(hit())
+        assert await caller.answer() == b"v"
+        assert client.late is None and client in bench.clients.open
+
+
+async def test_an_idle_client_makes_room_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    """ticket7341: connections that nobody used any more filled the places of new clients."""
+    monkeypatch.setattr(clients, "IDLE_LEAST", 0.0)
+    async with router(lambda asked, line: None, sockets=2) as bench:
+        idle, busy = await bench.caller(), await bench.caller()
+        idle.send(b"PING")
+        assert await idle.answer() == b"PONG"
+        busy.get()
+        await soon(lambda: bench.cache.got)
+        third = await bench.caller()
+        third.send(b"PING")
+        assert await third.answer() == b"PONG"
+        assert await idle.answer() is None
+        bench.cache.lines[0].write(hit())
+        assert await busy.answer() == b"v"
+
+
+async def test_a_client_too_many_is_told_so_and_its_place_is_free_again_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "IDLE_LEAST", 2 * PATIENCE)
     async with router(sockets=2) as bench:
         for _ in range(2):
             caller = await bench.caller()
