Shed reads at a jammed origin before writes

The guard that keeps reads from a jammed origin refused writes by the same bound, though only the origin takes them.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -21,6 +21,7 @@
 SLOW = 3 / 4  # part of a request's aim past which an answer is slow and its server swamped
 SLOW_IF_MARKED = 1 / 4  # the same for marked work, which is shed first: a mean there leaves e^-4 late
 CROWD, CROWD_IF_MARKED = 4, 2  # times its uncrowded answer time at which a server is swamped
+WRITE_SLACK = 2  # times its aim that a write must expect at the origin before it is not sent
 NO_CROWD = 1 << 20  # no limit by it
 RISE = 1 / 4  # part of its first r that r rises by in a healthy period
 CALM_PERIODS = 8  # healthy periods with a full bank before the throttle goes off
@@ -547,7 +548,9 @@
             return  # ended meanwhile; and never are two attempts out
         server = self.origin if job.at_origin else self._place(job)
         # Guards against work that keeps a jammed origin jammed: the rule for swamped servers holds here too.
-        limit, routers = job.spec.aim * SLOW, self.settings.balancers
+        # Guards against reads that crowd writes out: a write has nowhere else to go, so reads are shed first.
+        limit = job.spec.aim * (WRITE_SLACK if job.request.write else SLOW)
+        routers = self.settings.balancers
         jammed = job.at_origin and server and not server.calm(self.now, limit, NO_CROWD, routers)
         if server is None or jammed or not self._may_send(job, server):
             self._give_up(job)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -447,6 +447,17 @@
     assert [type(one) for one in reads] == [api.Send] * 3 + [api.Refuse] * 5
 
 
+def test_a_write_is_sent_where_a_read_is_shed() -> None:
+    """ticket6430: one write in eight was refused with no attempt, since reads had filled the origin."""
+    router = Router()
+    _, (first,) = router.ask("k")
+    origin = router.balancer.origin
+    assert origin is not None
+    origin.latency, origin.sent_at = 0.9 * SECOND, router.now  # past 3/4 of both aims
+    assert [type(action) for action in router.end(first, S.MISS)] == [api.Refuse]
+    assert sends(router.ask(cls=1, write=True)[1]) == ["origin"]
+
+
 def test_writes_do_not_keep_a_swamped_origin_swamped() -> None:
     """Guards against writes that keep a jammed origin jammed; a trial still shows when it recovers."""
     router = Router()
