Read again what the network broke at the origin, and do not hold it against it

A reset says nothing of the origin, yet each broken read was refused and counted as a sick origin's, which turns the throttle on and cuts its rate. Such a read now takes another token while its aim lasts, and whoever waits for it goes on waiting.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -664,7 +664,7 @@
         if server is not None:
             self._observe(server, event)
         read = self.reads.pop((event.id, event.attempt), None)
-        if read is not None:
+        if read is not None and event.status is not api.Status.RESET:  # that says nothing of the origin
             self.monitor.note(event.status is api.Status.OK and self.now < read[1], read[0])
         if job is None:
             return
@@ -699,8 +699,12 @@
             if not self._join(job):
                 self._spend(job)
         elif job.at_origin:
-            self._after_origin(job)
-            if key is not None and not job.request.write:
+            read = key is not None and not job.request.write
+            if read and status is api.Status.RESET and self.now < job.due:
+                self._spend(job)  # the network broke it: the origin has neither failed nor refused it
+            else:
+                self._after_origin(job)
+            if key is not None and read and not job.out:
                 self._fetched(key, False)
         elif unfetched or late or (status is api.Status.FULL and (job.marked or job.made > 1)):
             self._give_up(job)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -666,3 +666,22 @@
     assert router.tell(api.PeerMessage(1, "00")) == []
     assert router.tell(api.Probed("c0", S.OK, 1)) == []
     assert router.now == START and router.balancer.settings.origin_kind == ORIGIN_KIND
+
+
+def test_a_broken_origin_read_is_read_again_and_not_held_against_the_origin() -> None:
+    """ticket609: each was refused, and one in ten of them turned the throttle on and cut its rate."""
+    router = Router()
+    for n in range(12):
+        name, (first,) = router.ask(f"k{n}")
+        (read,) = router.end(first, S.MISS)
+        waiting, actions = router.ask(f"k{n}")
+        assert actions == []  # it waits for the read that is out
+        actions = router.end(read, S.RESET, 1)
+        assert sends(actions) == ["origin"]  # one read, still for both
+        (again,) = actions
+        assert isinstance(again, api.Send) and again.id == name
+        assert [action.id for action in router.end(again, S.OK, 2) if isinstance(action, api.Send)] == [
+            waiting
+        ]
+    router.wait(SECOND)
+    assert router.balancer.monitor.throttle is None and not router.balancer.fetches
