--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from applehub.interface import Status
 from applehub.node.resp import MOST_VALUE
@@ -51,6 +52,13 @@
     note: int = 0
 
 
+class Carrier(Protocol):
+    """What an attempt is made on."""
+
+    def give_up(self) -> bool:
+        """Ends the attempt that is out; whether it may have run."""
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One attempt as a connection sees it: what to ask, until when the router waits, whom to tell."""
@@ -58,6 +66,8 @@
     call: Call
     until: int  # monotonic ns
     done: Callable[[Ending], None]
+    carrier: Carrier | None = None
+    again: bool = False  # moved to another connection, since the first broke with nothing written
 
 
 def read_call(parts: list[bytes], names: Names) -> Call:
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -11,7 +11,7 @@
 from applehub.logic import Balancer
 from applehub.node import resp
 from applehub.node.call import Call, Ending, Exchange
-from applehub.node.pool import Connection, Pools
+from applehub.node.pool import Pools
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
@@ -28,7 +28,7 @@
     number: int
     server: str
     sent: int
-    connection: Connection | None = None
+    exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
 
 
@@ -173,22 +173,22 @@
             return
         held.attempt = attempt
         attempt.timer = self.loop.call_later(wait / SECOND, self._timeout, attempt)
-        exchange = Exchange(held.call, now + wait, lambda ending: self._ended(attempt, ending))
-        attempt.connection = pool.start(exchange)
-        if attempt.connection is None:
+        attempt.exchange = Exchange(held.call, now + wait, lambda ending: self._ended(attempt, ending))
+        if not pool.start(attempt.exchange):
             self._ended(attempt, Ending(api.Status.FULL))
 
     def _timeout(self, attempt: Attempt) -> None:
         """The connection is closed before the decisions hear of it, so that no second copy is ever out."""
-        if attempt.held.attempt is attempt and attempt.connection is not None:
-            may_have_run = attempt.connection.give_up()
+        carrier = attempt.exchange.carrier if attempt.exchange is not None else None
+        if attempt.held.attempt is attempt and carrier is not None:
+            may_have_run = carrier.give_up()
             self._ended(attempt, Ending(api.Status.TIMEOUT if may_have_run else api.Status.MOOT))
 
     def _ended(self, attempt: Attempt, ending: Ending) -> None:
         held = attempt.held
         if held.attempt is not attempt:
             return
-        held.attempt = None
+        held.attempt = attempt.exchange = None  # attempt and exchange hold each other
         if attempt.timer is not None:
             attempt.timer.cancel()
         if ending.status is api.Status.OK and held.open:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -26,6 +26,7 @@
         self.exchange: Exchange | None = None
         self.transport: asyncio.Transport | None = None
         self.dialling: asyncio.Task[None] | None = None
+        self.taken = False  # the server accepted it
         self.unsent = True  # the last byte of what is asked is not yet with the system
         self.since = 0.0  # when it was opened
         self.idle_since = 0.0
@@ -94,7 +95,8 @@
         log.debug("%s: the connection to %s:%d is lost", self._asked(), *self.pool.endpoint)
         self.pool.drop(self)
         exchange, self.exchange = self.exchange, None
-        if exchange is not None:
+        # Guards against a network that breaks connections: the server took this one, so it can be reached.
+        if exchange is not None and not (self.unsent and self.taken and self.pool.move(exchange)):
             exchange.done(Ending(status))
 
     def _asked(self) -> str:
@@ -102,6 +104,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.taken = True
         self.transport.set_write_buffer_limits(0)  # so that every byte that waits here is told
         if self.exchange is None:
             self.close()
@@ -137,29 +140,39 @@
         self.all: set[Connection] = set()
         self.retired = False
 
-    def start(self, exchange: Exchange) -> Connection | None:
-        """Begins an attempt; none where the router may open no more connections."""
+    def start(self, exchange: Exchange) -> bool:
+        """Begins an attempt; not where the router may open no more connections."""
         while self.idle:
             connection = self.idle.pop()
             # Guards against one whose end is known and not yet cleared away: nothing would be sent on it.
             if connection.transport is not None and not connection.transport.is_closing():
+                exchange.carrier = connection
                 connection.ask(exchange)
-                return connection
+                return True
         if not self.pools.room():
-            return None
+            return False
         connection = self.make(self)
         self.all.add(connection)
-        connection.exchange = exchange
+        connection.exchange, exchange.carrier = exchange, connection
         connection.since = asyncio.get_running_loop().time()
         connection.dialling = asyncio.get_running_loop().create_task(self._dial(connection))
-        return connection
+        return True
+
+    def move(self, exchange: Exchange) -> bool:
+        """Goes on with an attempt, once, of which nothing had been written when its connection broke."""
+        if exchange.again or self.retired:
+            return False
+        exchange.again = True
+        return self.start(exchange)
 
     async def _dial(self, connection: Connection) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.pools.dial_timeout):
                 await loop.create_connection(lambda: connection, *self.endpoint)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as problem:
+            # Reset, not refused: it was accepted and then broke, before the system told us that it was up.
+            connection.taken = isinstance(problem, ConnectionResetError)
             if connection.transport is None:
                 connection.lost()
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -428,6 +428,29 @@
         assert endings[0].status is api.Status.OK
 
 
+async def test_an_attempt_of_which_nothing_was_written_moves_to_another_connection_once() -> None:
+    """ticket609: connections that broke on being opened took running servers out as unreachable."""
+    async with router() as bench:
+        pool = bench.pools.pools["c0"]
+        statuses: list[api.Status] = []
+        call = Call(b"C.GET", b"k", b"i", INFO, None, 0, 0, 9000, False)
+        exchange = Exchange(
+            call, time.monotonic_ns() + 9_000_000_000, lambda ending: statuses.append(ending.status)
+        )
+        assert pool.start(exchange)
+        (first,) = pool.all
+        first.taken = True  # and broken before the command could be written
+        first.lost()
+        (second,) = pool.all
+        assert exchange.carrier is second and not statuses
+        await soon(lambda: statuses)
+        assert statuses == [api.Status.OK]
+        exchange.again, second.unsent = True, True
+        second.exchange = exchange
+        second.lost()
+        assert statuses[1:] == [api.Status.CONNECT_FAILED]
+
+
 async def test_answered_requests_leave_no_cycles() -> None:
     """Values of up to 64 KiB were kept until the collector came by."""
 
