Leave a server that fails most of what it is sent to one trial at a time

Two servers answered 80% of what they got with an error within some ms and kept their ranges and hot keys, since an error counted as a sign of life. Once more than half of a cache server's latest answers are errors, it is tried one at a time like an unreachable one, and is not cold afterwards.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -18,6 +18,7 @@
 FEW_TOKENS = 2  # what a throttle turned on starts with, so that it acts at once
 KEYS_KEPT = 1 << 14  # keys remembered; the oldest are forgotten first
 NEVER_RAN = frozenset((api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS))
+ANSWERS = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
 SLOW = 3 / 4  # part of a request's aim past which an answer is slow and its server swamped
 SLOW_IF_MARKED = 1 / 4  # the same for marked work, which is shed first: a mean there leaves e^-4 late
 CROWD, CROWD_IF_MARKED = 4, 2  # times its uncrowded answer time at which a server is swamped
@@ -196,8 +197,9 @@
     held: float = 1.0  # moving average of the attempts this router had out meanwhile
     out: int = 0
     sent_at: int = 0
-    fails: int = 0  # connects failed in a row, or attempts broken past BREAKS
+    fails: int = 0  # in a row: connects failed, attempts broken past BREAKS, errors of a failing server
     refusals: int = 0  # connects failed among them
+    errors: float = 0.0  # part of its latest answers that were errors
     breaks: int = 0  # attempts in a row that broke after they were sent
     down_since: int = 0
     down_until: int = 0
@@ -720,24 +722,33 @@
         else:
             self._give_up(job)
 
+    def _fails_most(self, server: Server) -> bool:
+        """Guards against a server that fails most of what it is sent, and so quickly that it seems idle.
+        Where caches fetch, an error may be the origin's; and the origin has no stand-in."""
+        return self.settings.aside and server is not self.origin and server.errors > 1 / 2
+
     def _observe(self, server: Server, event: api.Outcome) -> None:
         server.out = max(0, server.out - 1)
         status, load = event.status, event.load
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.now
         refused = status is api.Status.CONNECT_FAILED
-        answered = status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR)
+        failing = status is api.Status.ERROR and self._fails_most(server)
+        answered = not failing and status in ANSWERS
+        if status in ANSWERS:
+            server.errors += ((status is api.Status.ERROR) - server.errors) * SMOOTHING
         if not server.linked and not server.fails and event.elapsed < self.settings.connect_timeout:
             self.crowded += (refused - self.crowded) * SMOOTHING
         server.linked = not refused
         # Guards against a network that breaks connections: one that broke says nothing of the process. One
         # that died refuses the next connect.
         server.breaks = server.breaks + 1 if status is api.Status.RESET else server.breaks * (not answered)
-        failed = refused or (status is api.Status.RESET and server.breaks >= BREAKS)
+        failed = refused or failing or (status is api.Status.RESET and server.breaks >= BREAKS)
         if failed:
             if not server.fails:
                 server.down_since = self.now
-                self.actions.append(api.Log(f"server {event.server} unreachable"))
+                state = "fails what it is sent" if failing else "unreachable"
+                self.actions.append(api.Log(f"server {event.server} {state}"))
             server.fails += 1
             server.refusals += refused
             wait = self.settings.connect_timeout << min(server.fails, 4)
--- a/tests/support.py
+++ b/tests/support.py
@@ -115,6 +115,17 @@
         self.end(trial, api.Status.CONNECT_FAILED)
         return first
 
+    def fails_most(self, key: str) -> str:
+        """Lets the owner of a key fail all it is sent until the router leaves it alone; gives its name."""
+        name = self.candidates(key)[0].member.server
+        for _ in range(100):
+            if self.balancer.servers[name].fails:
+                break
+            _, (send,) = self.ask(key)
+            assert isinstance(send, api.Send)
+            self.end(send, api.Status.ERROR if send.server == name else api.Status.OK, elapsed=MILLI)
+        return name
+
     def throttle_on(self) -> None:
         """Makes the origin fail until the monitor acts."""
         for n in range(6):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -28,6 +28,8 @@
     router.throttle_on()
     router.wait(60 * SECOND)
     router.die("k")
+    owner = router.candidates("k")[0]
+    router.fails_most(next(key for key in "abcdefgh" if router.candidates(key)[0] is not owner))
     router.wait(2 * SECOND)
     _, (again,) = router.ask("k")
     router.end(again, api.Status.OK, elapsed=MILLI)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -405,6 +405,31 @@
     assert router.log[-1].endswith("answers again")
 
 
+def test_a_server_that_fails_most_of_what_it_is_sent_gets_one_trial_at_a_time() -> None:
+    """Quick day 3: two servers failed 80% within milliseconds and kept their ranges and hot keys."""
+    router = Router()
+    name = router.fails_most("k")
+    assert [sends(router.ask("k")[1]) for _ in range(3)].count([name]) == 0
+    router.wait(2 * SECOND)
+    trials = [action for _ in range(3) for action in router.ask("k")[1]]
+    assert sends(trials).count(name) == 1
+    (trial,) = [one for one in trials if isinstance(one, api.Send) and one.server == name]
+    router.end(trial, S.OK)
+    server = router.balancer.servers[name]
+    assert (server.cold_since, server.fails) == (0, 0)
+    assert sends(router.ask("k")[1]) == [name]
+
+
+def test_an_error_now_and_then_changes_nothing() -> None:
+    router = Router()
+    for n in range(60):
+        _, (send,) = router.ask("k")
+        assert sends([send]) == [router.candidates("k")[0].member.server]
+        for again in router.end(send, S.OK if n % 4 else S.ERROR):
+            router.end(again, S.OK, 1)
+    assert not router.log
+
+
 def test_what_joins_the_list_later_without_a_start_time_is_taken_as_cold() -> None:
     router = Router()
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c9")]))
