Ask for the list again within two seconds after every failed call

The pauses doubled to 10 s, though on sockets a change counts as told 6 s after discovery has it, heard or not: a router that paused through the end of an outage could go on sending to a server that drains.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -27,6 +27,7 @@
 RISE = 1 / 4  # part of its first r that r rises by in a healthy period
 CALM_PERIODS = 8  # healthy periods with a full bank before the throttle goes off
 DEALS_KEPT = 32  # lists remembered while keys move from one to the next
+LIST_PAUSE = 2 * SECOND  # the longest from a failed call to discovery until the next
 SAMPLES = 8  # requests counted for each server before old ones count half
 UNKNOWN = 63  # the age of keys that are not remembered
 ENOUGH = 4  # likely misses whose fate tells a healthy origin
@@ -355,7 +356,7 @@
         self.fetches: dict[str, list[Job]] = {}  # keys being read from the origin, and who waits for them
         self.agenda: list[tuple[int, int, Callable[[Job | None], None], Job | None]] = []
         self.crowded = 0.0  # part of the latest new connects that were refused at once
-        self.entries = self.asks = self.wake_at = self.release_at = 0
+        self.entries = self.wake_at = self.release_at = 0
         self.handlers: dict[type, Callable[..., None]] = {
             api.Request: self._on_request,
             api.Outcome: self._on_outcome,
@@ -410,14 +411,13 @@
 
     def _on_members(self, event: api.Members) -> None:
         if event.kind is api.ListKind.FAILED:
-            self.asks = min(self.asks + 1, 8)
-            wait = min(SECOND << self.asks, self.settings.ask_within) * self.random.uniform(0.5, 1)
+            # Guards the rule on drains: what discovery has to tell counts as told some seconds later, heard
+            # or not, so an outage is no reason to stay away for longer and longer.
+            wait = min(LIST_PAUSE, self.settings.ask_within) * self.random.uniform(0.5, 1)
             self.actions.append(api.Log(f"list unavailable, asked again in {wait / 1e6:.0f} ms"))
             self._later(int(wait), self._ask)
             return
-        if event.kind is not api.ListKind.CACHED:
-            self.asks = 0
-        elif self.settings.must_ask:
+        if event.kind is api.ListKind.CACHED and self.settings.must_ask:
             self._ask(None)
         if event.kind is not api.ListKind.DELTA:
             named = {entry.server for entry in event.entries}
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -679,6 +679,14 @@
     assert router.wait(60 * SECOND) == []
 
 
+def test_after_failed_calls_the_list_is_asked_for_within_two_seconds_each_time() -> None:
+    """What discovery tells counts as told after 6 s: pauses that doubled to 10 s could outlast a drain."""
+    router = Router(settings(must_ask=True))
+    for _ in range(8):
+        router.tell(api.Members(api.ListKind.FAILED, []))
+        assert router.wait(2 * SECOND) == [api.Watch()]
+
+
 def test_a_restart_asks_at_once_and_keeps_the_restored_list() -> None:
     router = Router(settings(must_ask=True), [])
     actions = router.tell(api.Members(api.ListKind.CACHED, fleet()))
