--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -29,6 +29,9 @@
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
 ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
 GONE_BY = 2.4  # s after SIGTERM at which the router ends, whatever a slow reader has not read
+MOST_MEMORY = 192  # MB, where no limit is told
+OWN_MEMORY = 26  # MB that the program needs for itself after some minutes
+LEAST_MEMORY = 4  # MB for what clients send, however small the limit
 log = logging.getLogger("applehub")
 
 
@@ -44,6 +47,7 @@
     discovery: Endpoint
     seed: int
     sockets: int
+    memory: int  # MB
     known: Json
     settings: Settings
     names: Names
@@ -65,11 +69,15 @@
         sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
         if type(sockets) is not int or sockets < 64:
             raise ConfigurationError(f"{path}: limits.sockets makes no sense: {sockets!r}")
+        memory = limits.get("memory_mb", MOST_MEMORY) if isinstance(limits, dict) else MOST_MEMORY
+        if type(memory) not in (int, float) or memory < 1:
+            raise ConfigurationError(f"{path}: limits.memory_mb makes no sense: {memory!r}")
         return Configuration(
             read_endpoint(told.get("listen")),
             read_endpoint(told.get("discovery")),
             int(str(told.get("seed") or "0"), 16),
             sockets,
+            int(memory),
             told.get("known") or {"rev": 0, "targets": []},
             read_settings(info),
             read_names(info),
@@ -81,6 +89,12 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
+def room_for_values(memory: int) -> int:
+    """The bytes of values that may wait in one place, by the limit in MB: a quarter of what the program
+    itself leaves, since a value passes through several buffers on its way."""
+    return (max(memory - OWN_MEMORY, LEAST_MEMORY) << 20) // 4
+
+
 def reload(path: str | None, watch: Watch) -> None:
     """Takes up what may change while the router runs: the address of discovery."""
     try:
@@ -99,6 +113,8 @@
     pools = Pools(told.sockets * 3 // 8, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
     driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held)
     clients = Clients(driver, told.names, told.sockets // 2)
+    driver.most_bytes = min(driver.most_bytes, room_for_values(told.memory))
+    clients.most_buffered = min(clients.most_buffered, room_for_values(told.memory))
     origin_kind = told.settings.origin_kind if told.settings.aside else -1
     directory = Directory(told.names, origin_kind, pools, driver.members)
     watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -223,7 +223,7 @@
         held = len(self.frames.buffer) + self.transport.get_write_buffer_size()
         self.server.buffered += held - self.buffered
         self.buffered = held
-        if self.server.buffered > MOST_BUFFERED and held > resp.MOST_VALUE:
+        if self.server.buffered > self.server.most_buffered and held > resp.MOST_VALUE:
             self.transport.abort()
 
 
@@ -233,7 +233,7 @@
     def __init__(self, driver: Driver, names: Names, most: int) -> None:
         self.driver, self.names, self.most = driver, names, most
         self.open: set[Client] = set()
-        self.buffered = 0
+        self.buffered, self.most_buffered = 0, MOST_BUFFERED
         self.can_serve: Callable[[], bool] = lambda: False
         self.closing = False
         self._empty = asyncio.Event()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -53,7 +53,7 @@
         self.balancer, self.pools, self.most_held = balancer, pools, most_held
         self.loop = asyncio.get_running_loop()
         self.held: dict[str, Held] = {}
-        self.held_bytes = 0
+        self.held_bytes, self.most_bytes = 0, MOST_HELD_BYTES
         self.watch: Callable[[], None] = lambda: None
         self.stop_at = 0  # when all must be answered, once the router is told to stop
         self._events: deque[api.Event] = deque()
@@ -65,7 +65,7 @@
         if name in self.held:
             reply(resp.error("this id is in use"))
             return None
-        if len(self.held) >= self.most_held or self.held_bytes + call.size > MOST_HELD_BYTES:
+        if len(self.held) >= self.most_held or self.held_bytes + call.size > self.most_bytes:
             reply(resp.refused(0))  # not begun, so that repeating is harmless
             return None
         now = time.monotonic_ns()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,6 +13,7 @@
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
 
 from applehub import interface as api
+from applehub.__main__ import room_for_values
 from applehub.node import discovery
 from applehub.node.discovery import Directory, ListError, Watch
 from applehub.node.pool import Pools
@@ -197,6 +198,7 @@
         {"settings": None},
         {"settings": {"classes": []}},
         {"limits": {"sockets": "many"}},
+        {"limits": {"memory_mb": "much"}},
         {"listen": "127.0.0.1:99999"},
     ],
 )
@@ -225,6 +227,11 @@
         assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
 
 
+def test_values_that_wait_leave_the_program_its_memory() -> None:
+    """The terms go down to 32 MB, where the bounds for the largest router were over the limit alone."""
+    assert [room_for_values(memory) >> 20 for memory in (32, 64, 192)] == [1, 9, 41]
+
+
 async def test_on_sighup_the_program_asks_discovery_where_it_is_now(tmp_path: Path) -> None:
     """A router that SIGHUP ended had crashed; one that stayed with the old address heard nothing more."""
     known = http(200, json.dumps(listing(1)).encode())
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -257,6 +257,16 @@
         assert str(await other.answer()) == "BUSY"
 
 
+async def test_values_past_the_bound_are_refused() -> None:
+    async with router() as bench:
+        bench.driver.most_bytes = 1024
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"w1", b"c=put,t=acme,d=9000,k=77", bytes(2048))
+        caller.send(b"C.SET", b"k", b"w2", b"c=put,t=acme,d=9000,k=78", bytes(512))
+        assert str(await caller.answer()) == "BUSY"
+        assert await caller.answer() == b"from origin"
+
+
 async def test_a_reader_that_takes_nothing_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "STUCK", 0.2)
     async with router(lambda asked, line: hit(bytes(resp.MOST_VALUE))) as bench:
