--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -59,7 +59,6 @@
         while self.missing:
             if not self._measure():
                 return WAITING
-            # Guards against arrays in arrays without end: each part is small, and the whole never comes.
             if self.at > MOST_FRAME or self.missing > MOST_ITEMS:
                 raise FramingError("too large")
         self.reader.feed(bytes(self.buffer[: self.at]))
@@ -85,6 +84,9 @@
         line, kind = bytes(buffer[at + 1 : end]), buffer[at : at + 1]
         end += 2
         if kind == b"*":
+            # Guards against arrays in arrays without end: neither side has any, and each takes time.
+            if at:
+                raise FramingError("an array in an array")
             self.missing += max(0, _length(line, MOST_ITEMS))
         elif kind == b"$":
             size = _length(line, MOST_VALUE)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -560,3 +560,12 @@
         assert await caller.answer() == b"v"
         assert str(await caller.answer()) == "BUSY"
         assert len(bench.cache.got) == 1
+
+
+def test_an_array_in_an_array_is_refused_before_the_rest_is_measured() -> None:
+    """300 KB of them held the loop up for long enough that dials timed out meanwhile."""
+    frames = resp.Frames()
+    frames.feed(b"*2\r\n$1\r\na\r\n" * 2)
+    with pytest.raises(resp.FramingError, match="an array in an array"):
+        frames.next()
+    assert frames.at < 20
