Let a warming server bear all it has taken up, by the flow of what it can do

Of 700 first choices at a warming server in 2 s, 368 passed on by the part that their kind bears, learned from jammed old ones, and 131 found the budget empty. At fault: _place, where the budget's bank held one token, of which a router that asks a server every four seconds loses half; and the part of the range, which is of no use for a server that takes up its range by age. The bank began full at every router: forty first tokens at once for a cold server.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -34,6 +34,7 @@
 TAIL = 1 / 16  # part of its likely misses that even a healthy origin may answer slowly
 BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
+WARMING_TOKENS = 2  # most that a router saves up for a server that warms up: one would lose half of them
 KIND_STEP = 1 / 16  # part of a kind's share that a slow answer of one of its servers takes
 
 
@@ -58,8 +59,8 @@
 
     __slots__ = ("at", "tokens")
 
-    def __init__(self) -> None:
-        self.tokens, self.at = 1.0, 0
+    def __init__(self, tokens: float = 1.0, at: int = 0) -> None:
+        self.tokens, self.at = tokens, at
 
     def take(self, now: int, rate: float, most: float) -> bool:
         self.tokens = min(self.tokens + rate * (now - self.at) / SECOND, max(1.0, most))
@@ -456,15 +457,20 @@
             return
         server = self.servers.get(entry.server)
         if server is None:
-            server = Server(entry, self.shortest_aim / 8, learned_at=self.now, cold_since=entry.since)
+            server = Server(entry, self.shortest_aim / 8, learned_at=self.now)
             self.servers[entry.server] = server
-            if not old and not entry.since:
-                server.cold_since = self.now  # new to the list, with no start time told: taken as cold
+            # New to the list, with no start time told: taken as cold.
+            self._chill(server, entry.since if old or entry.since else self.now)
         elif entry.since > server.member.since:
-            server.cold_since = max(server.cold_since, entry.since)
+            self._chill(server, max(server.cold_since, entry.since))
             server.fails = 0
         server.member = entry
 
+    def _chill(self, server: Server, since: int) -> None:
+        """Takes a server as cold since then. Guards against a first token from each of many routers at once:
+        the first falls due after a part of its time that each router draws."""
+        server.cold_since, server.budget = since, Bank(self.random.random(), self.now)
+
     def _ask(self, _: Job | None) -> None:
         self.actions.append(api.Watch())
 
@@ -595,20 +601,19 @@
             name = server.member.server
             # Rule 4: a server that warms up bears of its own range what was taken up since it started.
             warm = taken_up if name == owner else self.now - self.settings.ramp_time
-            if name in job.tried or server.cold_since > max(0, warm):
+            head = int(self.settings.cold_from * self.settings.ramp_time) if name == owner else 0
+            if name in job.tried or server.cold_since > max(0, warm + head):
                 continue
-            # Guards against hot keys that a warming server takes up: it gets half the mean flow at the most.
-            rate = self.flow.per_second(self.now) / len(near) / 2
+            # Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do.
+            rate = self.flow.per_second(self.now) / len(near) * self._warmth(server)
             warming = 0 < server.cold_since > self.now - self.settings.ramp_time
-            if warming and not server.budget.take(
-                self.now, rate, rate * self.settings.fall_time / SECOND / 4
-            ):
+            if warming and not server.budget.take(self.now, rate, WARMING_TOKENS):
                 continue
             if not server.open(self.now):
                 continue
             # Guards against a range that is more than its server bears: the far end passes to the next, which
-            # bears its part of that.
-            bears = self._bears(server)
+            # bears its part of that. What warms up takes up keys as it can, whatever its kind bears.
+            bears = server.share * server.size * (1 if warming else self._kind(server).share)
             if depth >= bears:
                 depth = (depth - bears) / (1 - bears)
                 continue
@@ -621,6 +626,11 @@
                 break
         return None
 
+    def _warmth(self, server: Server) -> float:
+        """The part of its full capacity that a server has by now at the least."""
+        age, cold = self.now - server.cold_since, self.settings.cold_from
+        return min(1.0, cold + (1 - cold) * age / max(1, self.settings.ramp_time))
+
     def _pace(self, server: Server) -> float:
         """How seldom each router may try a swamped server, so that all together send what one core serves."""
         return self.settings.balancers * self._kind(server).uncrowded
@@ -628,10 +638,6 @@
     def _kind(self, server: Server) -> Kind:
         return self.kinds.setdefault(server.member.kind, Kind())
 
-    def _bears(self, server: Server) -> float:
-        """The part of its range for a server: what it was seen to bear, and servers of its kind."""
-        return min(1.0, server.share * server.size * self._kind(server).share)
-
     def _send(self, job: Job, server: Server) -> None:
         key, read = job.request.key, job.at_origin and not job.request.write
         left = job.request.deadline - self.now
@@ -793,7 +799,7 @@
             away = server.refusals > 1 and self.now - server.down_since > SECOND
             server.fails = server.refusals = 0
             if away and self.crowded <= 1 / 2:
-                server.cold_since = self.now  # a process that died comes back cold, before the list tells
+                self._chill(server, self.now)  # a process that died comes back cold, before the list tells
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
         full, missed = status is api.Status.FULL, status is api.Status.MISS
         elapsed = self.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
--- a/tests/support.py
+++ b/tests/support.py
@@ -38,8 +38,10 @@
 class Router:
     """A balancer with its own clock; alarms come when they are due."""
 
-    def __init__(self, options: api.Settings | None = None, members: list[api.Member] | None = None) -> None:
-        self.balancer = Balancer(options or settings(), 7)
+    def __init__(
+        self, options: api.Settings | None = None, members: list[api.Member] | None = None, seed: int = 7
+    ) -> None:
+        self.balancer = Balancer(options or settings(), seed)
         self.now = START
         self.alarms: list[tuple[int, str]] = []
         self.log: list[str] = []
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -6,7 +6,16 @@
 from support import MILLI, ORIGIN_KIND, SECOND, START, Router, fleet, settings
 
 from applehub import interface as api
-from applehub.logic import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Monitor, Popularity, Server
+from applehub.logic import (
+    DEALS_KEPT,
+    KEYS_KEPT,
+    WARMING_TOKENS,
+    KeyMemory,
+    KeyRanges,
+    Monitor,
+    Popularity,
+    Server,
+)
 
 S = api.Status
 
@@ -390,7 +399,7 @@
 def test_a_cold_server_takes_up_its_part_evenly_however_many_routers(routers: int) -> None:
     """Guards against a first token for each router, which pushed cold servers over at full size."""
     fresh = api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)])
-    several = [Router() for _ in range(routers)]
+    several = [Router(seed=n) for n in range(routers)]
     for router in several:
         router.tell(fresh)
     sent, turn = [], 10 * SECOND
@@ -406,6 +415,32 @@
     assert quarters[0] > 4 and min(quarters[1:]) > 12  # the budget of half the mean flow may bind
 
 
+def test_the_first_tokens_of_a_warming_server_are_spread_over_the_routers() -> None:
+    """Guards against a hot key that goes to a cold server while each of forty routers has a token for it."""
+    fresh = api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)])
+    several = [Router(seed=n) for n in range(40)]
+    first = 0
+    for router in several:
+        router.tell(fresh)
+        router.balancer.flow.add(router.now)
+        first += router.balancer.servers["c1"].budget.take(router.now, 0.25, WARMING_TOKENS)
+    assert first == 0
+    later = [router.balancer.servers["c1"].budget.take(START + SECOND, 0.25, 2) for router in several]
+    assert 4 <= sum(later) <= 16, "a quarter of a token each"
+
+
+def test_a_warming_server_gets_the_mean_flow_of_what_it_can_do() -> None:
+    router = Router(settings(cold_from=0.2))  # warm after 10 s
+    router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)]))
+    server = router.balancer.servers["c1"]
+    ages = [0, 5, 10, 20]
+    parts = []
+    for age in ages:
+        router.balancer.now = START + age * SECOND
+        parts.append(router.balancer._warmth(server))
+    assert parts == pytest.approx([0.2, 0.6, 1.0, 1.0])
+
+
 def test_a_server_listed_with_a_newer_start_is_cold_again() -> None:
     router = Router()
     for _ in range(2):
