Give what no server bears back to whom it was passed by

At fault: _place, where passing on has had no end since the parts are pooled by kind. Now those passed by are asked in the same order at the end, and a warming server's budget is spent only on what it bears.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import chain
 from zlib import crc32
 
 from applehub import interface as api
@@ -444,9 +445,9 @@
         ready = [server for server in self.servers.values() if server.member.state is api.State.READY]
         caches = [server for server in ready if server.member.kind != origin_kind]
         self.ranges.deal(self.now, sorted(server.member.server for server in caches))
-        mean = sum(server.member.weight for server in caches) / max(1, len(caches)) or 1.0
+        mean = sum(server.member.weight for server in caches) / max(1, len(caches))
         for server in caches:  # guards against an equal range for an unequal machine: the small bear less
-            server.size = server.member.weight / mean
+            server.size = server.member.weight / mean if mean else 1.0
         self.origin = next((server for server in ready if server.member.kind == origin_kind), None)
 
     def _member(self, entry: api.Member, old: bool) -> None:
@@ -597,25 +598,25 @@
         if self.crowded > 1 / 2:
             # Guards against full connection tables: while most connects are refused, those there are do.
             near.sort(key=lambda server: not server.linked)
-        for server in near:
+        passed: list[Server] = []
+        for server in chain(near, passed):
             name = server.member.server
             # Rule 4: a server that warms up bears of its own range what was taken up since it started.
             warm = taken_up if name == owner else self.now - self.settings.ramp_time
             head = int(self.settings.cold_from * self.settings.ramp_time) if name == owner else 0
             if name in job.tried or server.cold_since > max(0, warm + head):
                 continue
-            # Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do.
-            rate = self.flow.per_second(self.now) / len(near) * self._warmth(server)
-            warming = 0 < server.cold_since > self.now - self.settings.ramp_time
-            if warming and not server.budget.take(self.now, rate, WARMING_TOKENS):
-                continue
             if not server.open(self.now):
                 continue
             # Guards against a range that is more than its server bears: the far end passes to the next, which
-            # bears its part of that. What warms up takes up keys as it can, whatever its kind bears.
+            # bears its part of that; what nobody bears goes back. What warms up takes up keys by its age.
+            warming = 0 < server.cold_since > self.now - self.settings.ramp_time
             bears = server.share * server.size * (1 if warming else self._kind(server).share)
-            if depth >= bears:
+            if depth >= bears and server not in passed:
                 depth = (depth - bears) / (1 - bears)
+                passed.append(server)
+                continue
+            if warming and not self._in_budget(server, len(near)):
                 continue
             # Guards against a storm of full answers: work spills once, to a calm server, or is refused.
             if server.calm(self.now, limit, crowd, self._pace(server)):
@@ -631,6 +632,11 @@
         age, cold = self.now - server.cold_since, self.settings.cold_from
         return min(1.0, cold + (1 - cold) * age / max(1, self.settings.ramp_time))
 
+    def _in_budget(self, server: Server, servers: int) -> bool:
+        """Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do."""
+        rate = self.flow.per_second(self.now) / servers * self._warmth(server)
+        return server.budget.take(self.now, rate, WARMING_TOKENS)
+
     def _pace(self, server: Server) -> float:
         """How seldom each router may try a swamped server, so that all together send what one core serves."""
         return self.settings.balancers * self._kind(server).uncrowded
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -371,6 +371,16 @@
     assert sum(kinds) < 150, "half of the keys lie in ranges of the weaker kind"
 
 
+def test_what_no_server_bears_goes_back_to_its_owner() -> None:
+    """Guards small fleets: four servers at the least part each would refuse nine requests in ten."""
+    router = Router()
+    for server in router.balancer.servers.values():
+        server.share = router.balancer._kind(server).share = 1 / 8
+    owned = [first_send(router, f"key{n}", lambda _: (S.CANCELLED, 0)) for n in range(40)]
+    heads = [router.candidates(f"key{n}")[0].member.server for n in range(40)]
+    assert sum(one == head for one, head in zip(owned, heads, strict=True)) > 30
+
+
 def test_reports_show_what_other_routers_send() -> None:
     router = Router()
     router.serve("k")
