Weigh an error by the time since the server's last answer

At fault: _observe: an eighth an answer takes six errors in a row, 10 to 15 s here; and an answer was judged by before it was counted. Now an error weighs by the time since the last answer, as latency does, at most a half: two with nothing between tell. With answers close together nothing changes. Ruled out: misread answers (each says -ERR failed), the time of a trial (2 s at the most).

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -39,6 +39,12 @@
 KIND_STEP = 1 / 16  # part of a kind's share that a slow answer of one of its servers takes
 
 
+def weight_of(gap: int, span: int) -> float:
+    """The weight of a sample that comes this long after the last.
+    Guards against a fleet so wide that answers come seldom: each counts for the time since the last."""
+    return min(max(gap / span, SMOOTHING), 1 / 2)
+
+
 class Rate:
     """How often something happened lately, in events a second, with exponential forgetting."""
 
@@ -217,6 +223,7 @@
     fails: int = 0  # in a row: connects failed, attempts broken past BREAKS, errors of a failing server
     refusals: int = 0  # connects failed among them
     errors: float = 0.0  # part of its latest answers that were errors
+    answered_at: int = 0
     breaks: int = 0  # attempts in a row that broke after they were sent
     down_since: int = 0
     down_until: int = 0
@@ -254,8 +261,7 @@
         return True
 
     def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
-        # Guards against a fleet so wide that answers come seldom: each counts for the time since the last.
-        weight = 1 / 2 if self.trial else min(max((now - self.learned_at) / span, SMOOTHING), 1 / 2)
+        weight = 1 / 2 if self.trial else weight_of(now - self.learned_at, span)
         self.learned_at = now
         self.latency += (elapsed - self.latency) * weight
         self.held += (out - self.held) * SMOOTHING
@@ -779,11 +785,14 @@
         status, load = event.status, event.load
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.now
+        if status in ANSWERS:
+            server.errors += ((status is api.Status.ERROR) - server.errors) * weight_of(
+                self.now - server.answered_at, 2 * self.shortest_aim
+            )
+            server.answered_at = self.now
         refused = status is api.Status.CONNECT_FAILED
         failing = status is api.Status.ERROR and self._fails_most(server)
         answered = not failing and status in ANSWERS
-        if status in ANSWERS:
-            server.errors += ((status is api.Status.ERROR) - server.errors) * SMOOTHING
         if not server.linked and not server.fails and event.elapsed < self.settings.connect_timeout:
             self.crowded += (refused - self.crowded) * SMOOTHING
         server.linked = not refused
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -507,6 +507,19 @@
     assert router.log[-1].endswith("answers again")
 
 
+def test_two_errors_far_apart_and_nothing_between_show_a_server_that_fails() -> None:
+    """join+vast: a router asks a server every other second, and counted six errors in a row before."""
+    router = Router()
+    name = ""
+    for _ in range(2):
+        router.wait(3 * SECOND)
+        _, (send,) = router.ask("k")
+        (name,) = sends([send])
+        router.end(send, S.ERROR)
+    assert router.balancer.servers[name].fails
+    assert sends(router.ask("k")[1]) != [name]
+
+
 def test_a_server_that_fails_most_of_what_it_is_sent_gets_one_trial_at_a_time() -> None:
     """Quick day 3: two servers failed 80% within milliseconds and kept their ranges and hot keys."""
     router = Router()
