Read load reports on the sockets and count the errors a second they tell

At fault: caches.ending_of and origin.ending_of, which read no report, and the module, which read no field that this site tells. A report that is missing, cut off or makes no sense counts as none, its answer counts. Now the errors a second stand beside the equal part of all routers' requests (balancers x own flow / servers).

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -775,6 +775,15 @@
         else:
             self._give_up(job)
 
+    def _failed_part(self, event: api.Outcome) -> float:
+        """The part of a server's answers that are errors, by this one, or by its report beside its equal part
+        of what all routers are asked."""
+        told = event.load.eps if event.load is not None else 0.0
+        mean = (
+            self.flow.per_second(self.now) * self.settings.balancers / max(1, len(self.ranges.deals[-1][1]))
+        )
+        return 1.0 if event.status is api.Status.ERROR else min(1.0, max(0.0, told) / max(1.0, mean))
+
     def _fails_most(self, server: Server) -> bool:
         """Guards against a server that fails most of what it is sent, and so quickly that it seems idle.
         Where caches fetch, an error may be the origin's; and the origin has no stand-in."""
@@ -786,7 +795,7 @@
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.now
         if status in ANSWERS:
-            server.errors += ((status is api.Status.ERROR) - server.errors) * weight_of(
+            server.errors += (self._failed_part(event) - server.errors) * weight_of(
                 self.now - server.answered_at, 2 * self.shortest_aim
             )
             server.answered_at = self.now
@@ -826,6 +835,7 @@
                 if one.base and one.member.kind == server.member.kind
             )
         if full or missed or status in (api.Status.OK, api.Status.TIMEOUT):
+            # Guards against a router that sees little of a server: who waits there tells what others send.
             slow = elapsed > self.shortest_aim // 2
             server.bear(self.now, event.elapsed, slow)
             if server is not self.origin and not 0 < server.cold_since > self.now - self.settings.ramp_time:
--- a/applehub/node/caches.py
+++ b/applehub/node/caches.py
@@ -6,7 +6,7 @@
 
 from applehub.interface import Status
 from applehub.node import resp
-from applehub.node.call import Ending, Exchange
+from applehub.node.call import Ending, Exchange, read_load
 from applehub.node.pool import Connection, Pool
 
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -15,14 +15,17 @@
 def ending_of(answer: object) -> Ending | None:
     """What a cache server's answer says; none for one that no command of ours can have."""
     if isinstance(answer, hiredis.ReplyError):
-        return Ending(Status.FULL if str(answer).split(" ")[0] == "BUSY" else Status.ERROR)
+        words = str(answer).split(" ")
+        load = read_load(words[-1]) if len(words) > 1 else None  # in an error line it may come last
+        return Ending(Status.FULL if words[0] == "BUSY" else Status.ERROR, load=load)
     if not isinstance(answer, list) or not answer:
         return None
     value, note = answer[0], answer[1] if len(answer) > 1 else None
     number = NOTES.get(note, 0) if isinstance(note, bytes) else 0
+    load = read_load(answer[2]) if len(answer) > 2 else None
     if value is None:
-        return Ending(Status.MISS, note=number)
-    return Ending(Status.OK, value, number) if isinstance(value, bytes) else None
+        return Ending(Status.MISS, note=number, load=load)
+    return Ending(Status.OK, value, number, load) if isinstance(value, bytes) else None
 
 
 class CacheConnection(Connection):
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from applehub.interface import Status
+from applehub.interface import Load, Status
 from applehub.node.resp import MOST_VALUE
-from applehub.settings import Names
+from applehub.settings import LOAD, Names
 
 PLAIN = re.compile(rb"[!-~]+")  # fit for a list of names and values, and for an HTTP header
+FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # of a load report
 MOST_WAIT = 3_600_000  # ms
 
 
@@ -50,6 +51,7 @@
     status: Status
     value: bytes = b""
     note: int = 0
+    load: Load | None = None
 
 
 class Carrier(Protocol):
@@ -96,3 +98,19 @@
     value_sent = parts[4] if name == b"C.SET" else None
     number = None if wait is None else int(wait)
     return Call(name, key, identity, info, value_sent, cls, tenant, number, fields.get("r") == "1")
+
+
+def read_load(report: object) -> Load | None:
+    """Reads a load report, names and values as bytes or text. One that is cut off or makes no sense counts as
+    none; names that are not known are skipped."""
+    text = report.decode("ascii", "replace") if isinstance(report, bytes) else report
+    if not isinstance(text, str) or not text:
+        return None
+    fields: dict[str, float] = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition("=")
+        if not name or not FIGURE.fullmatch(value):
+            return None
+        if name in LOAD:
+            fields[LOAD[name]] = float(value)
+    return Load(**fields) if fields else None
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -202,7 +202,14 @@
         log.debug("%s attempt %d at %s: %s after %.1f ms", held.id, of, where, how, elapsed / MILLI)
         self._tell(
             api.Outcome(
-                held.id, attempt.number, attempt.server, ending.status, not held.open, elapsed, ending.note
+                held.id,
+                attempt.number,
+                attempt.server,
+                ending.status,
+                not held.open,
+                elapsed,
+                ending.note,
+                ending.load,
             )
         )
 
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -3,7 +3,7 @@
 from urllib.parse import quote_from_bytes
 
 from applehub.interface import Status
-from applehub.node.call import Ending, Exchange
+from applehub.node.call import Ending, Exchange, read_load
 from applehub.node.http1 import Answer, Http, HttpError
 from applehub.node.pool import Connection, Pool
 from applehub.node.resp import MOST_VALUE
@@ -11,10 +11,11 @@
 
 def ending_of(answer: Answer) -> Ending:
     """What the origin's answer says. A 503 or 504 proves nothing unless the origin itself says so."""
+    load = read_load(answer.headers.get(b"x-load-report"))
     if answer.status == 200:
-        return Ending(Status.OK, bytes(answer.body))
+        return Ending(Status.OK, bytes(answer.body), load=load)
     rejected = answer.status in (503, 504) and answer.headers.get(b"x-rejected") == b"1"
-    return Ending(Status.FULL if rejected else Status.ERROR)
+    return Ending(Status.FULL if rejected else Status.ERROR, load=load)
 
 
 class OriginConnection(Connection):
--- a/applehub/settings.py
+++ b/applehub/settings.py
@@ -8,6 +8,14 @@
 FLEET_MODES = ("pushed", "on_request")
 CACHE_MODES = ("through", "aside")
 Json = dict[str, Any]
+LOAD = {
+    "outstanding": "inflight",
+    "backlog": "queue",
+    "utilization": "util",
+    "recent_ms": "latency_ms",
+    "throughput": "qps",
+    "errors_per_s": "eps",
+}  # what the fields of a load report are called on the wire and on the sockets, and in the module
 
 
 class SettingError(ValueError):
--- a/applehub/wirehost.py
+++ b/applehub/wirehost.py
@@ -9,7 +9,7 @@
 
 from applehub import interface as io
 from applehub.logic import Balancer
-from applehub.settings import Json, SettingError, read_settings
+from applehub.settings import LOAD, Json, SettingError, read_settings
 
 STATUS = {
     "completed": io.Status.OK,
@@ -29,14 +29,6 @@
     "restored": io.ListKind.CACHED,
     "unavailable": io.ListKind.FAILED,
 }
-LOAD = {
-    "outstanding": "inflight",
-    "backlog": "queue",
-    "utilization": "util",
-    "recent_ms": "latency_ms",
-    "throughput": "qps",
-    "errors_per_s": "eps",
-}
 
 
 class InputError(ValueError):
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,91 @@
+"""Load reports on the sockets: what can't be read counts as none, and its answer still counts."""
+
+import hiredis
+import pytest
+from support import SECOND, Router, settings
+
+from applehub import interface as api
+from applehub.node import caches, origin
+from applehub.node.call import read_load
+from applehub.node.http1 import Answer
+
+REPORT = b"backlog=3.5,errors_per_s=0.25,x0=0.691"
+LOAD = api.Load(queue=3.5, eps=0.25)
+BAD = [
+    None,
+    7,
+    b"",
+    b"backlog",
+    b"backlog=",
+    b"backlog=3,",
+    b"backlog=3,errors_per_s=",
+    b"backlog=3,err",
+    b"backlog=-3",
+    b"backlog=nan",
+    b"backlog=1e400",
+    b"backlog=99999999999999",
+    b"=3",
+    b"backlog=3 errors_per_s=1",
+    b"\xff\xfe=1",
+]
+
+
+def test_a_report_tells_the_fields_that_are_known() -> None:
+    assert read_load(REPORT) == LOAD
+    assert read_load("x0=0.5") is None
+    assert read_load(b"backlog=0,soon=1") == api.Load(queue=0)
+
+
+@pytest.mark.parametrize("report", BAD)
+def test_a_report_that_makes_no_sense_counts_as_none(report: object) -> None:
+    assert read_load(report) is None
+    served = caches.ending_of([b"value", b"hit", report])
+    assert served is not None
+    assert (served.status, served.value, served.load) == (api.Status.OK, b"value", None)
+
+
+def test_each_answer_of_a_cache_may_carry_a_report() -> None:
+    for answer, status in (
+        ([b"value", b"hit", REPORT], api.Status.OK),
+        ([None, b"miss", REPORT], api.Status.MISS),
+        (hiredis.ReplyError("BUSY " + REPORT.decode()), api.Status.FULL),
+        (hiredis.ReplyError("ERR failed " + REPORT.decode()), api.Status.ERROR),
+    ):
+        ending = caches.ending_of(answer)
+        assert ending is not None and (ending.status, ending.load) == (status, LOAD)
+
+
+@pytest.mark.parametrize("text", ["BUSY", "BUSY backlog=", "ERR failed", "ERR failed later"])
+def test_an_error_line_without_a_report_is_what_it_was(text: str) -> None:
+    ending = caches.ending_of(hiredis.ReplyError(text))
+    status = api.Status.FULL if text.startswith("BUSY") else api.Status.ERROR
+    assert ending is not None and (ending.status, ending.load) == (status, None)
+
+
+def test_an_answer_of_the_origin_may_carry_a_report() -> None:
+    for status, ended in ((200, api.Status.OK), (500, api.Status.ERROR)):
+        for report, load in ((REPORT, LOAD), (b"backlog=", None)):
+            ending = origin.ending_of(Answer(status, {b"x-load-report": report}, bytearray(b"v")))
+            assert (ending.status, ending.load) == (ended, load)
+    assert origin.ending_of(Answer(200, {})).load is None
+
+
+def test_errors_that_a_report_tells_show_a_server_that_fails_others() -> None:
+    """A router that asks a server every other second learns of its errors from any answer of it."""
+    router = Router(settings(balancers=40))
+    for n in range(40):
+        name, _ = router.ask(f"other{n}")
+        router.tell(api.Withdrawn(name))
+        router.wait(SECOND // 10)
+    for server in router.balancer.servers.values():
+        server.out = 0
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send)
+    server = router.balancer.servers[send.server]
+    asked = router.balancer.flow.per_second(router.now) * 40 / 4
+    router.end(send, api.Status.MISS, load=api.Load(queue=0, eps=0.8 * asked))
+    assert server.errors == pytest.approx(0.4, rel=0.1)
+    router.balancer._observe(
+        server, api.Outcome("", 0, send.server, api.Status.MISS, False, 0, load=api.Load(eps=0.0))
+    )
+    assert server.errors < 0.4
