Space trials at a server that refuses connects by the fleet's size

The rule stood only because few routers had been told. At fault: _observe: a router waits 1 to 2 s at the most between trials whatever the number of routers, so that forty make twenty to forty trials a second at a server that does a few. Now from the second refusal on the gap is (routers x uncrowded answer time / least cold part), which is the old two seconds for five routers and 16 s for forty; a newer start in the list opens the server at once. Ruled out as the sender: keys taken up by age, which the budget held to a few a second.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -789,6 +789,14 @@
         Where caches fetch, an error may be the origin's; and the origin has no stand-in."""
         return self.settings.aside and server is not self.origin and server.errors > 1 / 2
 
+    def _away(self, server: Server, refused: bool) -> float:
+        """The longest that a failed server is left alone. Guards against a trial from each of many routers as
+        it comes back: what refused twice may be cold then, and all together send what it can do so."""
+        wait = float(self.settings.connect_timeout << min(server.fails, 4))
+        if refused and server.fails > 1:
+            wait = max(wait, self._pace(server) / max(self.settings.cold_from, SMOOTHING / 2))
+        return wait
+
     def _observe(self, server: Server, event: api.Outcome) -> None:
         server.out = max(0, server.out - 1)
         status, load = event.status, event.load
@@ -816,8 +824,7 @@
                 self.actions.append(api.Log(f"server {event.server} {state}"))
             server.fails += 1
             server.refusals += refused
-            wait = self.settings.connect_timeout << min(server.fails, 4)
-            server.down_until = self.now + int(wait * self.random.uniform(0.5, 1))
+            server.down_until = self.now + int(self._away(server, refused) * self.random.uniform(0.5, 1))
         elif server.fails and answered:
             self.actions.append(api.Log(f"server {event.server} answers again"))
             away = server.refusals > 1 and self.now - server.down_since > SECOND
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -476,6 +476,25 @@
     assert router.log[-1].endswith("answers again")
 
 
+@pytest.mark.parametrize(("routers", "most"), [(2, 2.0), (40, 16.0)])
+def test_all_routers_together_try_a_dead_server_no_faster_than_a_cold_one_serves(
+    routers: int, most: float
+) -> None:
+    """zone+vast: forty trials in 1.5 s pushed a server over that had just come back."""
+    router = Router(settings(balancers=routers, cold_from=0.125))
+    server = router.balancer.servers[router.serve("k")]
+    router.balancer._kind(server).uncrowded = 50.0 * MILLI
+    away = []
+    for _ in range(6):
+        router.wait(max(0, server.down_until - router.now))
+        _, actions = router.ask("k")
+        assert sends(actions) == [server.member.server]
+        router.end(actions[0], S.CONNECT_FAILED)
+        away.append((server.down_until - router.now) / SECOND)
+    assert away[0] <= 0.5, "one refused connect may be chance"
+    assert all(most / 2 <= one <= 2 * most for one in away[3:])
+
+
 def test_a_broken_connection_says_nothing_of_the_process() -> None:
     """ticket609: each reset took a running server out, and after a second without traffic it was cold."""
     router = Router()
