--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -821,6 +821,28 @@
         assert router.wait(2 * SECOND) == [api.Watch()]
 
 
+def test_calls_that_fail_together_are_repeated_apart() -> None:
+    """Discovery is one service for all: forty routers that fail at once must not ask again at once."""
+    several = [Router(settings(must_ask=True, balancers=40), seed=seed) for seed in range(40)]
+    for router in several:
+        router.tell(api.Members(api.ListKind.FAILED, []))
+        assert router.wait(SECOND) == []
+    quarters = [sum(router.wait(SECOND // 4) == [api.Watch()] for router in several) for _ in range(4)]
+    assert sum(quarters) == 40 and min(quarters) >= 4
+
+
+def test_a_drain_told_between_failed_calls_holds() -> None:
+    router = Router(settings(must_ask=True))
+    name = router.serve("k")
+    router.tell(api.Members(api.ListKind.FAILED, []))
+    router.tell(api.Members(api.ListKind.DELTA, [api.Member(name, api.State.DRAINING)]))
+    router.tell(api.Members(api.ListKind.FAILED, []))
+    for n in range(40):
+        _, actions = router.ask(f"k{n}")
+        assert name not in sends(actions)
+        router.wait(SECOND // 10)
+
+
 def test_a_restart_asks_at_once_and_keeps_the_restored_list() -> None:
     router = Router(settings(must_ask=True), [])
     actions = router.tell(api.Members(api.ListKind.CACHED, fleet()))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -105,6 +105,42 @@
         assert str(await caller.answer()).startswith("BUSY")
 
 
+@pytest.mark.parametrize("info", [once(), INFO])
+async def test_a_dial_into_a_silent_zone_proves_that_nothing_ran(
+    info: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A machine that is cut off says nothing: the connection never comes up."""
+
+    async def silence(*args: Any) -> None:
+        await asyncio.Event().wait()
+
+    async with router(dialTimeout=50_000_000) as bench:
+        caller = await bench.caller()
+        statuses: list[api.Status] = []
+        observe = bench.driver.balancer.handle
+
+        def handle(now: int, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Outcome):
+                statuses.append(event.status)
+            return observe(now, event)
+
+        monkeypatch.setattr(bench.driver.balancer, "handle", handle)
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", silence)
+        caller.get(info=info)
+        assert str(await caller.answer()).startswith("BUSY")
+        assert set(statuses) == {api.Status.CONNECT_FAILED}
+        assert not any(pool.all for pool in bench.pools.pools.values()) and not bench.driver.held
+
+
+@pytest.mark.parametrize("reply", [b"-BUSY\r\n", b"-BUSY backlog=9.3,errors_per_s=0\r\n"])
+async def test_a_full_connection_table_that_says_so_proves_that_nothing_ran(reply: bytes) -> None:
+    async with router(lambda asked, line: reply) as bench:
+        caller = await bench.caller()
+        caller.get(info=once())
+        assert str(await caller.answer()).startswith("BUSY")
+        await soon(lambda: len(bench.pools.pools["c0"].idle) == 1)
+
+
 async def test_a_break_after_the_last_byte_may_have_run() -> None:
     def cut(asked: Any, line: asyncio.StreamWriter) -> None:
         line.transport.abort()
