Listen on the inherited descriptor and answer operators: HEALTH and DUMP

Lines at fault: clients.listen bound the address whatever was inherited; there was no second listener. Ruled out: a lack of descriptors (6 of 384 in use) and memory (12 of 80 MB).

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -13,8 +13,10 @@
 from applehub.interface import Settings
 from applehub.logic import Balancer
 from applehub.node.clients import Clients
+from applehub.node.console import CallError, Console
 from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
 from applehub.node.driver import Driver
+from applehub.node.figures import Figures
 from applehub.node.pool import Endpoint, Pools
 from applehub.settings import (
     Ceilings,
@@ -45,6 +47,8 @@
 
     listen: Endpoint
     discovery: Endpoint
+    console: Endpoint | None
+    inherited: int | None  # the descriptor of a listening socket that the platform holds
     seed: int
     sockets: int
     memory: int  # MB
@@ -72,9 +76,14 @@
         memory = limits.get("memory_mb", MOST_MEMORY) if isinstance(limits, dict) else MOST_MEMORY
         if type(memory) not in (int, float) or memory < 1:
             raise ConfigurationError(f"{path}: limits.memory_mb makes no sense: {memory!r}")
+        # The variable first: the file may be shared by two processes of an upgrade, the variable never is.
+        console = os.environ.get("BALANCER_CONSOLE") or told.get("console")
+        inherited = os.environ.get("BALANCER_INHERITED_FD") or None
         return Configuration(
             read_endpoint(told.get("listen")),
             read_endpoint(told.get("discovery")),
+            read_endpoint(console) if console else None,
+            None if inherited is None else int(inherited),
             int(str(told.get("seed") or "0"), 16),
             sockets,
             int(memory),
@@ -106,12 +115,20 @@
     watch.move(endpoint)
 
 
+def health(ready: bool) -> str:
+    if not ready:
+        raise CallError("not ready")
+    return "+OK"
+
+
 async def serve(told: Configuration, path: str | None = None) -> None:
     """Runs the router until it is told to stop and holds nothing more."""
     stopping, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     pools = Pools(told.sockets * 3 // 8, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
-    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held)
+    figures = Figures()
+    figures.know(list(told.names.classes))
+    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held, figures)
     clients = Clients(driver, told.names, told.sockets // 2)
     driver.most_bytes = min(driver.most_bytes, room_for_values(told.memory))
     clients.most_buffered = min(clients.most_buffered, room_for_values(told.memory))
@@ -125,11 +142,28 @@
         directory.take(told.known, cached=True)
     except ListError as problem:
         log.warning("the known list is of no use: %s", problem)
+    figures.gauges |= {
+        "tries": lambda: pools.written,
+        "active": lambda: driver.active,
+        "pool_size": lambda: directory.size,
+        "pool_ejected": lambda: driver.balancer.avoided,
+    }
+    console = Console(
+        {
+            "HEALTH": lambda _: health(clients.accepting and directory.can_serve),
+            "DUMP": lambda _: "\n".join(["+OK", *figures.lines(), "."]),
+        }
+    )
     try:
-        host, port = await clients.listen(*told.listen)
+        host, port = await clients.listen(*told.listen, told.inherited)
     except OSError as problem:
         raise ConfigurationError(f"can't listen on {told.listen[0]}:{told.listen[1]}: {problem}") from None
     log.info("listening on %s:%d", host, port)
+    if told.console is not None:
+        try:
+            log.info("operators call at %s:%d", *await console.listen(*told.console))
+        except OSError as problem:
+            raise ConfigurationError(f"can't listen for operators: {problem}") from None
     if not told.settings.must_ask:
         watch.start()
     await stopping.wait()
@@ -140,6 +174,7 @@
     clients.close()
     await clients.emptied(begun + GONE_BY - loop.time())
     watch.stop()
+    console.close()
 
 
 def main() -> int:
--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -401,6 +401,11 @@
         self._run_agenda()
         return self.actions
 
+    @property
+    def avoided(self) -> int:
+        """How many listed cache servers are left out now, by choice."""
+        return sum(server.fails > 0 for server in self.servers.values() if server is not self.origin)
+
     def _later(self, delay: int, call: Callable[[Job | None], None], job: Job | None = None) -> None:
         self.entries += 1
         heapq.heappush(self.agenda, (self.now + delay, self.entries, call, job))
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -28,6 +28,7 @@
     info: bytes
     value: bytes | None
     cls: int
+    kind: str  # the name of its class, which outlives the index
     tenant: int
     wait: int | None  # ms until the client gives up, from when it sent the command
     repeat: bool
@@ -86,7 +87,8 @@
         if not equals or field in fields:
             raise CallError("invalid list of names and values")
         fields[field] = value
-    cls = names.classes.get(fields.get("c", ""))
+    kind = fields.get("c", "")
+    cls = names.classes.get(kind)
     if cls is None:
         raise CallError("unknown class")
     tenant = names.tenants.get(fields["t"]) if "t" in fields else 0
@@ -97,7 +99,8 @@
         raise CallError("invalid d")
     value_sent = parts[4] if name == b"C.SET" else None
     number = None if wait is None else int(wait)
-    return Call(name, key, identity, info, value_sent, cls, tenant, number, fields.get("r") == "1")
+    repeat = fields.get("r") == "1"
+    return Call(name, key, identity, info, value_sent, cls, kind, tenant, number, repeat)
 
 
 def read_load(report: object) -> Load | None:
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -16,6 +17,7 @@
 MOST_BUFFERED = 32 << 20  # bytes of all connections that clients have not finished sending or reading
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
+BACKLOG = 1024  # clients that wait to be let in
 IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
 log = logging.getLogger("applehub")
@@ -239,9 +241,19 @@
         self._empty = asyncio.Event()
         self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> tuple[str, int]:
+    @property
+    def accepting(self) -> bool:
+        return self._server is not None and self._server.is_serving()
+
+    async def listen(self, host: str, port: int, inherited: int | None = None) -> tuple[str, int]:
+        """Listens on an address, or on a listening socket that the platform holds and other processes share:
+        that is only ever closed here, never shut down."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
+        if inherited is None:
+            self._server = await loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
+        else:
+            shared = socket.socket(fileno=inherited)
+            self._server = await loop.create_server(lambda: Client(self), sock=shared, backlog=BACKLOG)
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
--- /dev/null
+++ b/applehub/node/console.py
@@ -0,0 +1,99 @@
+"""The operators' second address: one line to a connection, answered on the router's own event loop."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+MOST_CALLERS = 16  # connections at once; past that the oldest with no whole call makes room
+MOST_LINE = 512  # bytes of a call
+PROMPT = 2.5  # s in which a caller must send its line
+Handler = Callable[[str], str]
+log = logging.getLogger("applehub")
+
+
+class CallError(ValueError):
+    """A call that is answered with a no; its text says why."""
+
+
+class Caller(asyncio.Protocol):
+    """One connection of an operator."""
+
+    def __init__(self, console: "Console") -> None:
+        self.console = console
+        self.line = b""
+        self.transport: asyncio.Transport | None = None
+        self.late: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.console.enter(self)
+        self.late = asyncio.get_running_loop().call_later(PROMPT, self.end, "-ERR no whole call in time")
+
+    def data_received(self, data: bytes) -> None:
+        self.line += data
+        line, ended, _ = self.line.partition(b"\n")
+        if ended and len(line) <= MOST_LINE:
+            self.end(self.console.answer(line))
+        elif len(self.line) > MOST_LINE:
+            self.end("-ERR the line is too long")
+
+    def eof_received(self) -> bool:
+        self.end("-ERR no whole call")
+        return True  # closed once the answer is out
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.console.leave(self)
+        if self.late is not None:
+            self.late.cancel()
+
+    def end(self, answer: str) -> None:
+        """Answers and ends the connection; nothing that comes later counts."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(answer.encode() + b"\n")
+            self.transport.close()
+        self.console.leave(self)
+
+
+class Console:
+    """The listener, and what may be called on it."""
+
+    def __init__(self, calls: dict[str, Handler]) -> None:
+        self.calls = calls
+        self.callers: dict[Caller, None] = {}  # those that have sent no whole call yet, oldest first
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> tuple[str, int]:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Caller(self), host, port)
+        address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
+        return address
+
+    def enter(self, caller: Caller) -> None:
+        """Guards the places of operators against callers that connect and say nothing."""
+        if len(self.callers) >= MOST_CALLERS:
+            next(iter(self.callers)).end("-ERR too many callers")
+        self.callers[caller] = None
+
+    def leave(self, caller: Caller) -> None:
+        self.callers.pop(caller, None)
+
+    def answer(self, line: bytes) -> str:
+        word, _, rest = line.decode("latin-1").strip().partition(" ")
+        call = self.calls.get(word.upper())
+        if call is None:
+            return "-ERR unknown call"
+        try:
+            return call(rest.strip())
+        except CallError as problem:
+            return f"-ERR {problem}"
+        except Exception:
+            log.exception("a call could not be carried out: %s", word)
+            return "-ERR the call failed"
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for caller in list(self.callers):
+            caller.end("-ERR the router ends")
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -63,6 +63,11 @@
             for one in self.targets.values()
         )
 
+    @property
+    def size(self) -> int:
+        """How many cache servers are listed."""
+        return sum(one.member.kind != self.origin_kind for one in self.targets.values())
+
     def take(self, answer: Any, cached: bool = False) -> bool:
         """Takes up a list or changes of it; whether it was of use. An older version changes nothing."""
         if not isinstance(answer, dict) or not isinstance(answer.get("targets"), list):
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -11,6 +11,7 @@
 from applehub.logic import Balancer
 from applehub.node import resp
 from applehub.node.call import Call, Ending, Exchange
+from applehub.node.figures import Answered, Figures
 from applehub.node.pool import Pools
 
 MILLI = 1_000_000
@@ -49,8 +50,9 @@
 class Driver:
     """The host of one Balancer."""
 
-    def __init__(self, balancer: Balancer, pools: Pools, most_held: int) -> None:
+    def __init__(self, balancer: Balancer, pools: Pools, most_held: int, figures: Figures) -> None:
         self.balancer, self.pools, self.most_held = balancer, pools, most_held
+        self.figures = figures
         self.loop = asyncio.get_running_loop()
         self.held: dict[str, Held] = {}
         self.held_bytes, self.most_bytes = 0, MOST_HELD_BYTES
@@ -63,9 +65,11 @@
         """Takes a client's call; reply is called once. None where it is answered already."""
         name = call.id.decode()
         if name in self.held:
+            self.figures.answered(call.kind, Answered.ERRORS)
             reply(resp.error("this id is in use"))
             return None
         if len(self.held) >= self.most_held or self.held_bytes + call.size > self.most_bytes:
+            self.figures.answered(call.kind, Answered.SHED)
             reply(resp.refused(0))  # not begun, so that repeating is harmless
             return None
         now = time.monotonic_ns()
@@ -104,7 +108,7 @@
     def _overdue(self, held: Held) -> None:
         """Guards rule 1 against a request that the decisions have lost: it fails in time all the same."""
         if held.open:
-            self._answer(held, resp.FAILED)
+            self._answer(held, resp.FAILED, Answered.ERRORS)
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
 
@@ -146,9 +150,11 @@
             case api.Refuse() | api.Fail():
                 held = self.held.get(action.id)
                 if held is not None and held.open:
-                    later = action.retry_after if isinstance(action, api.Refuse) else 0
-                    refusal = resp.refused(-(-later // MILLI))
-                    self._answer(held, refusal if isinstance(action, api.Refuse) else resp.FAILED)
+                    if isinstance(action, api.Refuse):
+                        refusal = resp.refused(-(-action.retry_after // MILLI))
+                        self._answer(held, refusal, Answered.SHED)
+                    else:
+                        self._answer(held, resp.FAILED, Answered.ERRORS)
                     self._forget(held)
             case api.Wake():
                 self.loop.call_later(action.delay / SECOND, self._tell, api.Alarm(action.token))
@@ -192,7 +198,7 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         if ending.status is api.Status.OK and held.open:
-            self._answer(held, resp.bulk(ending.value))
+            self._answer(held, resp.bulk(ending.value), Answered.OK)
         self._outcome(attempt, ending)
         self._forget(held)
 
@@ -213,11 +219,17 @@
             )
         )
 
-    def _answer(self, held: Held, answer: bytes) -> None:
+    def _answer(self, held: Held, answer: bytes, how: Answered) -> None:
+        self.figures.answered(held.call.kind, how)
         log.debug("%s answered: %.16r", held.id, answer)
         self._close(held)
         held.reply(answer)
 
+    @property
+    def active(self) -> int:
+        """Requests taken and not ended."""
+        return sum(held.open for held in self.held.values())
+
     def _close(self, held: Held) -> None:
         held.open = False
         if held.guard is not None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -56,6 +56,8 @@
         self.transport.write(asked)
         # A write that failed at once handed nothing over: what it asked for never ran.
         self.unsent = self.unsent or self.transport.is_closing()
+        if not self.unsent:
+            self.pool.pools.written += 1
 
     def give_up(self) -> bool:
         """Ends the attempt that is out; whether it may have run. Guards against second copies: the system
@@ -115,6 +117,8 @@
         self.unsent = True
 
     def resume_writing(self) -> None:
+        if self.unsent and self.exchange is not None:
+            self.pool.pools.written += 1
         self.unsent = False
 
     def data_received(self, data: bytes) -> None:
@@ -215,6 +219,7 @@
         self.pools: dict[str, Pool] = {}
         self.leaving: list[Pool] = []  # replaced, with attempts still out
         self.sweeping = False
+        self.written = 0  # attempts whose last byte is with the system
 
     def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
         """The pool of a server; one at another endpoint takes the place of the old."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -11,6 +11,7 @@
 from applehub.node.clients import Clients
 from applehub.node.discovery import Directory
 from applehub.node.driver import Driver
+from applehub.node.figures import Figures
 from applehub.node.pool import Pools
 from applehub.node.resp import command
 from applehub.settings import read_ceilings, read_names, read_settings
@@ -211,7 +212,7 @@
     told = info(**ceilings)
     settings, limits, names = read_settings(told), read_ceilings(told), read_names(told)
     pools = Pools(sockets, limits.dial_timeout / 1e9, limits.keepalive / 1e9)
-    driver = Driver(Balancer(settings, 1), pools, limits.most_held)
+    driver = Driver(Balancer(settings, 1), pools, limits.most_held, Figures())
     clients = Clients(driver, names, sockets)
     directory = Directory(names, 1, pools, driver.members)
     clients.can_serve = lambda: directory.can_serve
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -165,7 +165,7 @@
         pool = bench.pools.pools["o"]
         server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
         pool.endpoint = server.sockets[0].getsockname()[:2]
-        call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, 0, 9000, False)
+        call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, "put", 0, 9000, False)
         pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
         await soon(lambda: statuses)
         assert statuses == [api.Status.CONNECT_FAILED]
@@ -467,7 +467,7 @@
         assert idle.transport is not None
         idle.transport.close()  # as the end of the stream does; the rest comes in the next round
         endings: list[Any] = []
-        call = Call(b"C.GET", b"k", b"i2", INFO, None, 0, 0, 9000, False)
+        call = Call(b"C.GET", b"k", b"i2", INFO, None, 0, "read", 0, 9000, False)
         pool = bench.pools.pools["c0"]
         pool.start(Exchange(call, time.monotonic_ns() + 9_000_000_000, endings.append))
         await soon(lambda: endings)
@@ -479,7 +479,7 @@
     async with router() as bench:
         pool = bench.pools.pools["c0"]
         statuses: list[api.Status] = []
-        call = Call(b"C.GET", b"k", b"i", INFO, None, 0, 0, 9000, False)
+        call = Call(b"C.GET", b"k", b"i", INFO, None, 0, "read", 0, 9000, False)
         exchange = Exchange(
             call, time.monotonic_ns() + 9_000_000_000, lambda ending: statuses.append(ending.status)
         )
