Let clients in a few a turn, so that a rush takes no more descriptors than there are

Limits of 512 clients and 384 servers' connections had held. Lines at fault: clients.listen gave asyncio the length of the queue as the number to let in a turn, and connection_made turns away only afterwards. Ruled out: leaks (the count falls again after the rush) and the operators' own connections (16 at most). The test holds 200 waiting clients: with the cause put back it fails.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -18,6 +18,7 @@
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
 BACKLOG = 1024  # clients that wait to be let in
+LET_IN = 16  # clients let in during one turn of the loop
 IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
 log = logging.getLogger("applehub")
@@ -250,10 +251,14 @@
         that is only ever closed here, never shut down."""
         loop = asyncio.get_running_loop()
         if inherited is None:
-            self._server = await loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            listener = socket.create_server((host, port), family=family)
         else:
-            shared = socket.socket(fileno=inherited)
-            self._server = await loop.create_server(lambda: Client(self), sock=shared, backlog=BACKLOG)
+            listener = socket.socket(fileno=inherited)
+        # Guards the descriptors: asyncio lets in as many in one turn as may queue, before the first of them
+        # can be turned away. So it is told of a few, and the system of the true length of the queue.
+        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=LET_IN)
+        listener.listen(BACKLOG)
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import os
+import socket
 import time
 from typing import Any
 
@@ -605,3 +607,16 @@
     with pytest.raises(resp.FramingError, match="an array in an array"):
         frames.next()
     assert frames.at < 20
+
+
+async def test_a_rush_of_clients_is_let_in_a_few_at_a_time() -> None:
+    """On scrape+rate+leave as many as queued were let in at once, and descriptors ran out."""
+    async with router(sockets=4) as bench:
+        rush = [socket.create_connection(("127.0.0.1", bench.port)) for _ in range(200)]
+        before, most = len(os.listdir("/proc/self/fd")), 0
+        while not most or len(os.listdir("/proc/self/fd")) > before + 4:
+            await asyncio.sleep(0)
+            most = max(most, len(os.listdir("/proc/self/fd")) - before)
+        assert most <= 4 + 4 * clients.LET_IN
+        for one in rush:
+            one.close()
