Hand connections over on SIGTERM: end each right after an answer, by the longest deadline

Lines at fault: serve() in __main__.py with its fixed times; Clients.close and Client.advance, which end whatever has no answer due. On an own address the 0.5 s stay, since nobody else accepts there. Ruled out: shutting the listener down (it is only closed; the test of `run` connects to it afterwards).

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -29,8 +29,10 @@
 )
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
-ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
-GONE_BY = 2.4  # s after SIGTERM at which the router ends, whatever a slow reader has not read
+KILLED_AFTER = 0.7  # s past the longest deadline at which SIGKILL comes after SIGTERM
+LONGEST = 3.0  # s that the platform waits for a deadline at the most
+ALL_ANSWERED, GONE_BY = 0.3, 0.15  # s before SIGKILL: all has its answer; the router ends, read or not
+IDLE_UNTIL = 0.6  # s before SIGKILL: who has not asked again by then finds the connection closed
 MOST_MEMORY = 192  # MB, where no limit is told
 OWN_MEMORY = 26  # MB that the program needs for itself after some minutes
 LEAST_MEMORY = 4  # MB for what clients send, however small the limit
@@ -168,11 +170,15 @@
         watch.start()
     await stopping.wait()
     log.info("told to stop")
-    begun = loop.time()
-    driver.stop(ALL_ANSWERED)
-    await asyncio.sleep(STILL_ACCEPTING)
+    killed = loop.time() + min(driver.longest_deadline / 1e9, LONGEST) + KILLED_AFTER
+    driver.stop(killed - ALL_ANSWERED - loop.time())
+    if told.inherited is None:
+        await asyncio.sleep(STILL_ACCEPTING)
+    else:
+        clients.hand_over()
+        await clients.emptied(killed - IDLE_UNTIL - loop.time())
     clients.close()
-    await clients.emptied(begun + GONE_BY - loop.time())
+    await clients.emptied(killed - GONE_BY - loop.time())
     watch.stop()
     console.close()
 
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -120,22 +121,34 @@
         answer that is ready at once, or comes while this runs, is written by this loop."""
         if self.advancing or self.lingering or self.transport is None:
             return
-        self.advancing = True
+        self.advancing, answered = True, False
         try:
             self._take_up()
-            while self._write() and self.frames.buffer:
+            while self._write():
+                answered = True
+                if not self.frames.buffer:
+                    break
                 self._take_up()
         finally:
             self.advancing = False
         if not self.slots and self.last:
             self._linger()
-        elif not self.slots and self.server.closing:
+        elif not self.slots and (self.server.closing or (answered and self._may_part())):
             self.transport.close()
         else:
             self.idle_since = asyncio.get_running_loop().time()
             self._steer()
             self._await_command()
 
+    def _may_part(self) -> bool:
+        """Whether this connection, just answered, is to end. Guards against a close that crosses a request:
+        nothing of one is here, nor with the system."""
+        if not self.server.parting or self.frames.buffer or self.transport is None:
+            return False
+        arrived = select.poll()
+        arrived.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not arrived.poll(0)
+
     def make_room(self) -> None:
         """Ends this idle connection in favour of another."""
         self.server.open.discard(self)
@@ -238,7 +251,7 @@
         self.open: set[Client] = set()
         self.buffered, self.most_buffered = 0, MOST_BUFFERED
         self.can_serve: Callable[[], bool] = lambda: False
-        self.closing = False
+        self.parting = self.closing = False
         self._empty = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -277,14 +290,19 @@
     def gone(self, client: Client) -> None:
         self.open.discard(client)
         self.buffered -= client.buffered
-        if self.closing and not self.open:
+        if self.parting and not self.open:
             self._empty.set()
 
+    def hand_over(self) -> None:
+        """Stops listening, since another process lets clients in; each connection ends after an answer."""
+        self.parting = True
+        if self._server is not None:
+            self._server.close()
+
     def close(self) -> None:
         """Stops listening; each connection ends after its last answer, idle ones at once."""
+        self.hand_over()
         self.closing = True
-        if self._server is not None:
-            self._server.close()
         for client in list(self.open):
             client.advance()
         if not self.open:
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -96,6 +96,10 @@
     def members(self, event: api.Members) -> None:
         self._tell(event)
 
+    @property
+    def longest_deadline(self) -> int:
+        return max(spec.deadline for spec in self.balancer.settings.classes)
+
     def stop(self, by: float) -> None:
         """Nothing is held for longer than these seconds from now."""
         self.stop_at = time.monotonic_ns() + int(by * SECOND)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -620,3 +620,37 @@
         assert most <= 4 + 4 * clients.LET_IN
         for one in rush:
             one.close()
+
+
+async def test_a_handed_over_connection_ends_right_after_an_answer_and_never_before_one() -> None:
+    """upgrade: a close in mid-silence crosses requests that are on their way."""
+    async with router() as bench:
+        idle, busy = await bench.caller(), await bench.caller()
+        for caller in (idle, busy):
+            caller.send(b"PING")
+            assert await caller.answer() == b"PONG"
+        bench.clients.hand_over()
+        assert not bench.clients.accepting
+        busy.get(name=b"i1")
+        busy.get(name=b"i2")
+        assert [await busy.answer() for _ in range(3)] == [b"v", b"v", None]
+        assert len(bench.clients.open) == 1
+        idle.get(name=b"i3")
+        assert [await idle.answer() for _ in range(2)] == [b"v", None]
+        await asyncio.wait_for(bench.clients.emptied(PATIENCE), PATIENCE)
+        assert not bench.clients.open
+
+
+async def test_a_connection_with_more_on_its_way_does_not_end() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.send(b"PING")
+        assert await caller.answer() == b"PONG"
+        (client,) = bench.clients.open
+        bench.clients.hand_over()
+        assert client._may_part()
+        client.transport.pause_reading()  # type: ignore[union-attr]
+        caller.get()
+        await soon(lambda: not client._may_part())
+        client.transport.resume_reading()  # type: ignore[union-attr]
+        assert [await caller.answer() for _ in range(2)] == [b"v", None]
