Take cache servers out by hand: OFFLINE and ONLINE, kept for an upgrade and shared by both processes

The lines at fault: the module knew of no state but the list's (Balancer._member), nor did the pools (Directory._place). Now the module holds a set of ids told as an event; a server in it drains whatever is listed, and is cold from the call back on, even where the list gives an older start or names it anew. Two processes halve connections, memory and warming tokens while both run. Ruled out: a poll that could miss a call (the file is another one after each rename, and each call looks first).

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -6,18 +6,23 @@
 import os
 import signal
 import sys
+import tempfile
 from dataclasses import dataclass
+from pathlib import Path
 
 import orjson
 
+from applehub import interface as api
 from applehub.interface import Settings
 from applehub.logic import Balancer
-from applehub.node.clients import Clients
-from applehub.node.console import CallError, Console
+from applehub.node.byhand import ByHand
+from applehub.node.clients import MOST_BUFFERED, Clients
+from applehub.node.console import CallError, Console, Handler
 from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
-from applehub.node.driver import Driver
+from applehub.node.driver import MOST_HELD_BYTES, Driver
 from applehub.node.figures import Figures
 from applehub.node.pool import Endpoint, Pools
+from applehub.node.shared import Shared
 from applehub.settings import (
     Ceilings,
     Json,
@@ -35,6 +40,7 @@
 IDLE_UNTIL = 0.6  # s before SIGKILL: who has not asked again by then finds the connection closed
 MOST_MEMORY = 192  # MB, where no limit is told
 OWN_MEMORY = 26  # MB that the program needs for itself after some minutes
+LOOK = 0.1  # s between looks at what other processes of this router were told
 LEAST_MEMORY = 4  # MB for what clients send, however small the limit
 log = logging.getLogger("applehub")
 
@@ -100,87 +106,131 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
-def room_for_values(memory: int) -> int:
+def room_for_values(memory: int, copies: int = 1) -> int:
     """The bytes of values that may wait in one place, by the limit in MB: a quarter of what the program
-    itself leaves, since a value passes through several buffers on its way."""
-    return (max(memory - OWN_MEMORY, LEAST_MEMORY) << 20) // 4
-
-
-def reload(path: str | None, watch: Watch) -> None:
-    """Takes up what may change while the router runs: the address of discovery."""
-    try:
-        endpoint = read_configuration(path).discovery
-    except ConfigurationError as problem:
-        log.error("told to reload, but the configuration is of no use: %s", problem)
-        return
-    log.info("told to reload: discovery at %s:%d", *endpoint)
-    watch.move(endpoint)
-
+    itself leaves, since a value passes through several buffers on its way. Copies share the limit."""
+    return (max(memory - OWN_MEMORY * copies, LEAST_MEMORY) << 20) // 4 // copies
+
+
+def shared_folder() -> Path:
+    """What processes of one router share: $TMPDIR, or a folder of its own, since any other is others' too."""
+    return Path(os.environ.get("TMPDIR") or tempfile.mkdtemp(prefix="applehub-"))
+
+
+class Router:
+    """The parts of a router, wired together."""
+
+    def __init__(self, told: Configuration, path: str | None) -> None:
+        self.told, self.path = told, path
+        self.stopping = asyncio.Event()
+        self.figures = Figures()
+        self.figures.know(list(told.names.classes))
+        self.pools = Pools(0, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
+        balancer = Balancer(told.settings, told.seed)
+        self.driver = Driver(balancer, self.pools, told.ceilings.most_held, self.figures)
+        self.clients = Clients(self.driver, told.names, told.sockets // 2)
+        origin_kind = told.settings.origin_kind if told.settings.aside else -1
+        self.directory = Directory(told.names, origin_kind, self.pools, self.driver.tell)
+        self.watch = Watch(told.discovery, self.directory, told.seed, told.settings.must_ask)
+        self.driver.watch = self.watch.start
+        self.clients.can_serve = lambda: self.directory.can_serve
+        self.shared = Shared(shared_folder()) if told.console is not None else None
+        self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
+        self.copies = 0
+        self._budget(1)
+        self.figures.gauges |= {
+            "tries": lambda: self.pools.written,
+            "active": lambda: self.driver.active,
+            "pool_size": lambda: self.directory.size,
+            "pool_ejected": lambda: balancer.avoided,
+        }
+        self.console = Console(self._calls())
 
-def health(ready: bool) -> str:
-    if not ready:
-        raise CallError("not ready")
-    return "+OK"
+    def _calls(self) -> dict[str, Handler]:
+        calls: dict[str, Handler] = {
+            "HEALTH": lambda _: self.health(),
+            "DUMP": lambda _: "\n".join(["+OK", *self.figures.lines(), "."]),
+        }
+        if self.by_hand is not None:
+            calls |= {"OFFLINE": self.by_hand.offline, "ONLINE": self.by_hand.online}
+        return calls
+
+    def health(self) -> str:
+        if not self.clients.accepting or not self.directory.can_serve:
+            raise CallError("not ready")
+        return "+OK"
+
+    def _budget(self, copies: int) -> None:
+        """Takes this process's part of what all processes of the router may use."""
+        if copies == self.copies:
+            return
+        self.copies = copies
+        self.pools.most = self.told.sockets * 3 // 8 // copies
+        room = room_for_values(self.told.memory, copies)
+        self.driver.most_bytes = min(MOST_HELD_BYTES, room)
+        self.clients.most_buffered = min(MOST_BUFFERED, room)
+        self.driver.tell(api.Copies(copies))
+
+    def _look_around(self) -> None:
+        """Takes up what another process of this router was told, and whether there is one."""
+        if self.shared is not None and self.by_hand is not None:
+            self.by_hand.look()
+            self._budget(2 if self.shared.others() else 1)
+            asyncio.get_running_loop().call_later(LOOK, self._look_around)
+
+    def reload(self) -> None:
+        """Takes up what may change while the router runs: the address of discovery."""
+        try:
+            endpoint = read_configuration(self.path).discovery
+        except ConfigurationError as problem:
+            log.error("told to reload, but the configuration is of no use: %s", problem)
+            return
+        log.info("told to reload: discovery at %s:%d", *endpoint)
+        self.watch.move(endpoint)
+
+    async def start(self) -> None:
+        loop, told = asyncio.get_running_loop(), self.told
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        try:
+            self.directory.take(told.known, cached=True)
+        except ListError as problem:
+            log.warning("the known list is of no use: %s", problem)
+        self._look_around()
+        try:
+            host, port = await self.clients.listen(*told.listen, told.inherited)
+            log.info("listening on %s:%d", host, port)
+            if told.console is not None:
+                log.info("operators call at %s:%d", *await self.console.listen(*told.console))
+        except OSError as problem:
+            raise ConfigurationError(f"can't listen: {problem}") from None
+        if not told.settings.must_ask:
+            self.watch.start()
+
+    async def stop(self) -> None:
+        """Ends once all that was taken is answered. Where another process lets clients in, connections are
+        handed over one by one; elsewhere clients still come for a while."""
+        loop, longest = asyncio.get_running_loop(), self.driver.longest_deadline / 1e9
+        killed = loop.time() + min(longest, LONGEST) + KILLED_AFTER
+        self.driver.stop(killed - ALL_ANSWERED - loop.time())
+        if self.told.inherited is None:
+            await asyncio.sleep(STILL_ACCEPTING)
+        else:
+            self.clients.hand_over()
+            await self.clients.emptied(killed - IDLE_UNTIL - loop.time())
+        self.clients.close()
+        await self.clients.emptied(killed - GONE_BY - loop.time())
+        self.watch.stop()
+        self.console.close()
 
 
 async def serve(told: Configuration, path: str | None = None) -> None:
     """Runs the router until it is told to stop and holds nothing more."""
-    stopping, loop = asyncio.Event(), asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    pools = Pools(told.sockets * 3 // 8, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
-    figures = Figures()
-    figures.know(list(told.names.classes))
-    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held, figures)
-    clients = Clients(driver, told.names, told.sockets // 2)
-    driver.most_bytes = min(driver.most_bytes, room_for_values(told.memory))
-    clients.most_buffered = min(clients.most_buffered, room_for_values(told.memory))
-    origin_kind = told.settings.origin_kind if told.settings.aside else -1
-    directory = Directory(told.names, origin_kind, pools, driver.members)
-    watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
-    loop.add_signal_handler(signal.SIGHUP, reload, path, watch)
-    driver.watch = watch.start
-    clients.can_serve = lambda: directory.can_serve
-    try:
-        directory.take(told.known, cached=True)
-    except ListError as problem:
-        log.warning("the known list is of no use: %s", problem)
-    figures.gauges |= {
-        "tries": lambda: pools.written,
-        "active": lambda: driver.active,
-        "pool_size": lambda: directory.size,
-        "pool_ejected": lambda: driver.balancer.avoided,
-    }
-    console = Console(
-        {
-            "HEALTH": lambda _: health(clients.accepting and directory.can_serve),
-            "DUMP": lambda _: "\n".join(["+OK", *figures.lines(), "."]),
-        }
-    )
-    try:
-        host, port = await clients.listen(*told.listen, told.inherited)
-    except OSError as problem:
-        raise ConfigurationError(f"can't listen on {told.listen[0]}:{told.listen[1]}: {problem}") from None
-    log.info("listening on %s:%d", host, port)
-    if told.console is not None:
-        try:
-            log.info("operators call at %s:%d", *await console.listen(*told.console))
-        except OSError as problem:
-            raise ConfigurationError(f"can't listen for operators: {problem}") from None
-    if not told.settings.must_ask:
-        watch.start()
-    await stopping.wait()
+    router = Router(told, path)
+    await router.start()
+    await router.stopping.wait()
     log.info("told to stop")
-    killed = loop.time() + min(driver.longest_deadline / 1e9, LONGEST) + KILLED_AFTER
-    driver.stop(killed - ALL_ANSWERED - loop.time())
-    if told.inherited is None:
-        await asyncio.sleep(STILL_ACCEPTING)
-    else:
-        clients.hand_over()
-        await clients.emptied(killed - IDLE_UNTIL - loop.time())
-    clients.close()
-    await clients.emptied(killed - GONE_BY - loop.time())
-    watch.stop()
-    console.close()
+    await router.stop()
 
 
 def main() -> int:
--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -110,6 +110,22 @@
     entries: list[Member]
 
 
+@dataclass(slots=True)
+class ByHand:
+    """Operators left a server out, whatever the list says of it, or put it back: cold since then."""
+
+    server: str
+    out: bool
+    since: int
+
+
+@dataclass(slots=True)
+class Copies:
+    """How many processes serve as this router now, each told of its own part of the work alone."""
+
+    count: int
+
+
 @dataclass(slots=True)
 class Request:
     """A client's request, to be given exactly one final answer by its deadline."""
@@ -190,7 +206,7 @@
     data: str
 
 
-Event = Members | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage
+Event = Members | ByHand | Copies | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage
 
 
 @dataclass(slots=True)
--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import chain
 from zlib import crc32
 
@@ -213,7 +213,7 @@
 class Server:
     """What this router has seen of one server."""
 
-    member: api.Member
+    member: api.Member  # as the list has it, but draining while it is out by hand
     latency: float  # moving average of answer times, ns
     base: float = 0.0  # its answer time when uncrowded: the least average seen, slowly forgotten
     learned_at: int = 0
@@ -236,6 +236,7 @@
     trial: bool = False  # what is out was sent to see whether it has recovered
     load: api.Load | None = None
     load_at: int = 0
+    listed: api.State = api.State.READY
 
     def predict(self) -> float:
         """The answer time to expect of one more request, if it grows with what this router has out."""
@@ -365,6 +366,9 @@
         self.actions: list[api.Action] = []
         self.jobs: dict[str, Job] = {}
         self.servers: dict[str, Server] = {}
+        self.by_hand: set[str] = set()  # left out, whatever the list says
+        self.put_back: dict[str, int] = {}  # and when those that were are cold since
+        self.copies = 1
         self.origin: Server | None = None
         self.ranges = KeyRanges(settings.ramp_time)
         self.memory, self.popularity = KeyMemory(), Popularity()
@@ -383,6 +387,8 @@
             api.Request: self._on_request,
             api.Outcome: self._on_outcome,
             api.Members: self._on_members,
+            api.ByHand: self._on_by_hand,
+            api.Copies: self._on_copies,
             api.Withdrawn: self._on_withdrawn,
         }
 
@@ -403,8 +409,12 @@
 
     @property
     def avoided(self) -> int:
-        """How many listed cache servers are left out now, by choice."""
-        return sum(server.fails > 0 for server in self.servers.values() if server is not self.origin)
+        """How many listed cache servers are left out now, by hand or by choice."""
+        return sum(
+            name in self.by_hand or server.fails > 0
+            for name, server in self.servers.items()
+            if server is not self.origin
+        )
 
     def _later(self, delay: int, call: Callable[[Job | None], None], job: Job | None = None) -> None:
         self.entries += 1
@@ -452,6 +462,33 @@
                 self._member(api.Member(name, api.State.GONE), True)
         for entry in event.entries:
             self._member(entry, event.kind is api.ListKind.CACHED)
+        self._deal()
+
+    def _on_by_hand(self, event: api.ByHand) -> None:
+        server = self.servers.get(event.server)
+        if event.out:
+            self.by_hand.add(event.server)
+        else:
+            self.by_hand.discard(event.server)
+            self.put_back[event.server] = event.since
+        if server is None:
+            return
+        if not event.out:
+            # Restarted while it was out: what it did before tells nothing, and no list may tell of its start.
+            server.fails = server.refusals = server.breaks = 0
+            self._chill(server, max(server.cold_since, event.since))
+        self._set_state(server, server.listed)
+        self._deal()
+
+    def _set_state(self, server: Server, listed: api.State) -> None:
+        out = server.member.server in self.by_hand
+        server.listed = listed
+        server.member = replace(server.member, state=api.State.DRAINING if out else listed)
+
+    def _on_copies(self, event: api.Copies) -> None:
+        self.copies = event.count
+
+    def _deal(self) -> None:
         origin_kind = self.settings.origin_kind if self.settings.aside else -1
         ready = [server for server in self.servers.values() if server.member.state is api.State.READY]
         caches = [server for server in ready if server.member.kind != origin_kind]
@@ -472,11 +509,13 @@
             server = Server(entry, self.shortest_aim / 8, learned_at=self.now)
             self.servers[entry.server] = server
             # New to the list, with no start time told: taken as cold.
-            self._chill(server, entry.since if old or entry.since else self.now)
+            since = entry.since if old or entry.since else self.now
+            self._chill(server, max(since, self.put_back.get(entry.server, 0)))
         elif entry.since > server.member.since:
             self._chill(server, max(server.cold_since, entry.since))
             server.fails = 0
         server.member = entry
+        self._set_state(server, entry.state)
 
     def _chill(self, server: Server, since: int) -> None:
         """Takes a server as cold since then. Guards against a first token from each of many routers at once:
@@ -646,11 +685,11 @@
     def _in_budget(self, server: Server, servers: int) -> bool:
         """Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do."""
         rate = self.flow.per_second(self.now) / servers * self._warmth(server)
-        return server.budget.take(self.now, rate, WARMING_TOKENS)
+        return server.budget.take(self.now, rate, WARMING_TOKENS / self.copies)
 
     def _pace(self, server: Server) -> float:
         """How seldom each router may try a swamped server, so that all together send what one core serves."""
-        return self.settings.balancers * self._kind(server).uncrowded
+        return self.settings.balancers * self.copies * self._kind(server).uncrowded
 
     def _kind(self, server: Server) -> Kind:
         return self.kinds.setdefault(server.member.kind, Kind())
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -54,19 +54,29 @@
         self.names, self.origin_kind, self.pools, self.tell = names, origin_kind, pools, tell
         self.rev = -1
         self.targets: dict[str, Target] = {}
+        self.out: set[str] = set()  # left out by hand
         self.origin_of_time = time.time_ns() - time.monotonic_ns()  # once, so that a start keeps its time
 
     @property
     def can_serve(self) -> bool:
         return any(
-            one.member.state is api.State.READY and one.member.kind != self.origin_kind
-            for one in self.targets.values()
+            one.member.state is api.State.READY and self.is_cache(name) and name not in self.out
+            for name, one in self.targets.items()
         )
 
     @property
     def size(self) -> int:
         """How many cache servers are listed."""
-        return sum(one.member.kind != self.origin_kind for one in self.targets.values())
+        return sum(map(self.is_cache, self.targets))
+
+    def is_cache(self, name: str) -> bool:
+        return name in self.targets and self.targets[name].member.kind != self.origin_kind
+
+    def leave_out(self, name: str, out: bool) -> None:
+        """Takes up what operators said of a cache server, whatever its entry says."""
+        (self.out.add if out else self.out.discard)(name)
+        if name in self.targets:
+            self._open_or_retire(self.targets[name])
 
     def take(self, answer: Any, cached: bool = False) -> bool:
         """Takes up a list or changes of it; whether it was of use. An older version changes nothing."""
@@ -125,9 +135,15 @@
         known = self.targets.get(name)
         if known is not None and known.boot != target.boot:
             pool.forget_before(target.boot)
-        if target.member.state is not api.State.READY:
-            pool.retire()
         self.targets[name] = target
+        self._open_or_retire(target)
+
+    def _open_or_retire(self, target: Target) -> None:
+        name = target.member.server
+        pool = self.pools.pools[name]
+        pool.retired = False
+        if target.member.state is not api.State.READY or name in self.out:
+            pool.retire()
 
     def _drop(self, name: str) -> None:
         self.targets.pop(name, None)
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -93,7 +93,8 @@
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
 
-    def members(self, event: api.Members) -> None:
+    def tell(self, event: api.Members | api.ByHand | api.Copies) -> None:
+        """Passes on news that concerns no single request."""
         self._tell(event)
 
     @property
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -227,7 +227,6 @@
         if pool is None or pool.endpoint != endpoint:
             self.remove(name)
             pool = self.pools[name] = Pool(self, endpoint, make)
-        pool.retired = False
         return pool
 
     def remove(self, name: str) -> None:
--- /dev/null
+++ b/applehub/node/shared.py
@@ -0,0 +1,83 @@
+"""What the processes of one router share through $TMPDIR while one takes over from another."""
+
+import contextlib
+import fcntl
+import logging
+import os
+import struct
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+FLOCK = "hhqqi0q"  # struct flock: type, whence, start, length, process
+BACK_KEPT = 600_000  # ms for which a call back is remembered: by then the server is warm
+log = logging.getLogger("applehub")
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The latest call for a cache server: out or back, and when (Unix time, ms)."""
+
+    out: bool
+    at: int
+
+
+class Shared:
+    """A file of what operators said of cache servers, and a locked byte for each process that runs."""
+
+    def __init__(self, folder: Path) -> None:
+        self.file, self.lock = folder / "applehub-by-hand.json", folder / "applehub-by-hand.lock"
+        self.runs = (folder / "applehub.runs").open("wb")
+        # A byte of its own for each process. Guards against signs left behind: a lock ends with its holder.
+        fcntl.lockf(self.runs, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, os.getpid())
+        self._read_as: tuple[int, int] | None = None  # inode and time of the file last read
+
+    def others(self) -> bool:
+        """Whether another process of this router runs."""
+        whole = struct.pack(FLOCK, fcntl.F_WRLCK, os.SEEK_SET, 0, 0, 0)
+        found: int = struct.unpack(FLOCK, fcntl.fcntl(self.runs, fcntl.F_GETLK, whole))[0]
+        return found != fcntl.F_UNLCK
+
+    def leave(self) -> None:
+        self.runs.close()
+
+    def say(self, server: str, out: bool) -> dict[str, Told]:
+        """Writes a call down; gives all that holds from now on. Raises OSError where it can't be kept."""
+        now = time.time_ns() // 1_000_000
+        with self._alone():
+            told = {name: one for name, one in self._load().items() if one.out or one.at > now - BACK_KEPT}
+            told[server] = Told(out, now)
+            beside = self.file.with_suffix(".new")
+            beside.write_bytes(orjson.dumps({name: [one.out, one.at] for name, one in told.items()}))
+            beside.replace(self.file)
+        return told
+
+    def changed(self) -> dict[str, Told] | None:
+        """All that was said, if the file is another one than at the last look."""
+        try:
+            status = self.file.stat()
+        except OSError:
+            return None
+        if (status.st_ino, status.st_mtime_ns) == self._read_as:
+            return None
+        self._read_as = status.st_ino, status.st_mtime_ns
+        return self._load()
+
+    @contextlib.contextmanager
+    def _alone(self) -> Iterator[None]:
+        with self.lock.open("wb") as held:
+            fcntl.flock(held, fcntl.LOCK_EX)
+            yield
+
+    def _load(self) -> dict[str, Told]:
+        try:
+            told = orjson.loads(self.file.read_bytes())
+            return {name: Told(bool(out), int(at)) for name, (out, at) in told.items()}
+        except FileNotFoundError:
+            return {}
+        except (OSError, ValueError, TypeError, AttributeError) as problem:
+            log.error("what operators said can't be read: %s", problem)
+            return {}
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -214,7 +214,7 @@
     pools = Pools(sockets, limits.dial_timeout / 1e9, limits.keepalive / 1e9)
     driver = Driver(Balancer(settings, 1), pools, limits.most_held, Figures())
     clients = Clients(driver, names, sockets)
-    directory = Directory(names, 1, pools, driver.members)
+    directory = Directory(names, 1, pools, driver.tell)
     clients.can_serve = lambda: directory.can_serve
     listed = [entry("c0", peers[0].address), entry("o", peers[1].address, model="origin")]
     if entries is not None:
