Write a connection's last answer and its end as one, and close none that has more on its way

Lines at fault: Client.advance, which closes a turn of the loop after the answer; clients with requests waiting ask again at once, before the end reaches them. Clients.close ended idle ones unseen.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -52,6 +52,7 @@
         self.transport: asyncio.Transport | None = None
         self.last = False  # nothing more is read; closed once all is answered
         self.advancing = self.blocked = self.lingering = False
+        self.parted = False  # the end of the stream is written
         self.buffered = 0
         self.stuck: asyncio.TimerHandle | None = None
         self.late: asyncio.TimerHandle | None = None
@@ -69,7 +70,7 @@
         self._await_command()
 
     def data_received(self, data: bytes) -> None:
-        if self.last:
+        if self.last or self.parted:
             return
         self.frames.feed(data)
         self.advance()
@@ -121,33 +122,40 @@
         answer that is ready at once, or comes while this runs, is written by this loop."""
         if self.advancing or self.lingering or self.transport is None:
             return
-        self.advancing, answered = True, False
+        self.advancing = True
         try:
             self._take_up()
-            while self._write():
-                answered = True
-                if not self.frames.buffer:
-                    break
+            while self._write() and self.frames.buffer:
                 self._take_up()
         finally:
             self.advancing = False
         if not self.slots and self.last:
             self._linger()
-        elif not self.slots and (self.server.closing or (answered and self._may_part())):
+        elif not self.slots and (self.parted or (self.server.closing and not self._more_comes())):
             self.transport.close()
         else:
             self.idle_since = asyncio.get_running_loop().time()
             self._steer()
             self._await_command()
 
-    def _may_part(self) -> bool:
-        """Whether this connection, just answered, is to end. Guards against a close that crosses a request:
-        nothing of one is here, nor with the system."""
-        if not self.server.parting or self.frames.buffer or self.transport is None:
-            return False
+    def _more_comes(self) -> bool:
+        """Whether the system holds something of this client: a close would cross it."""
+        assert self.transport is not None
         arrived = select.poll()
         arrived.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not arrived.poll(0)
+        return bool(arrived.poll(0))
+
+    def _part(self, answers: bytes) -> None:
+        """Writes the last answers and the end of the stream as one. Guards against a client that has read the
+        answer and asks again before the end reaches it."""
+        assert self.transport is not None
+        self.parted = True
+        line = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):  # without it the end comes a moment later
+            line.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+        self.transport.write(answers)
+        if not self.transport.is_closing():
+            self.transport.write_eof()
 
     def make_room(self) -> None:
         """Ends this idle connection in favour of another."""
@@ -186,7 +194,11 @@
         while self.slots and self.slots[0].answer is not None:
             ready.append(self.slots.popleft().answer or b"")
         if ready and self.transport is not None:
-            self.transport.write(b"".join(ready))
+            whole = not self.slots and not self.frames.buffer and not self.last
+            if self.server.parting and whole and not self.parted and not self._more_comes():
+                self._part(b"".join(ready))
+            else:
+                self.transport.write(b"".join(ready))
         return bool(ready)
 
     def _command(self, parts: object) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -647,10 +647,25 @@
         caller.send(b"PING")
         assert await caller.answer() == b"PONG"
         (client,) = bench.clients.open
-        bench.clients.hand_over()
-        assert client._may_part()
-        client.transport.pause_reading()  # type: ignore[union-attr]
+        assert client.transport is not None and not client._more_comes()
+        client.transport.pause_reading()
         caller.get()
-        await soon(lambda: not client._may_part())
-        client.transport.resume_reading()  # type: ignore[union-attr]
+        await soon(client._more_comes)
+        bench.clients.close()
+        client.transport.resume_reading()
         assert [await caller.answer() for _ in range(2)] == [b"v", None]
+
+
+async def test_the_last_answer_and_the_end_come_as_one() -> None:
+    """upgrade+hand: 37 requests were sent on connections whose end was not known yet."""
+    async with router() as bench:
+        with socket.create_connection(("127.0.0.1", bench.port)) as raw:
+            raw.settimeout(PATIENCE)
+            raw.sendall(resp.command(b"PING"))
+            await asyncio.sleep(0)
+            await soon(lambda: any(client.proven for client in bench.clients.open))
+            assert raw.recv(100) == b"+PONG\r\n"
+            bench.clients.hand_over()
+            raw.sendall(resp.command(b"C.GET", b"k", b"i1", INFO))
+            await soon(lambda: not bench.clients.open)
+            assert raw.recv(100) == b"$1\r\nv\r\n" and raw.recv(100) == b""
