Take up the whole configuration at SIGHUP, all of it or nothing

Lines at fault: reload() in __main__.py, and defaults of settings.py that hide a key that is missing.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -28,6 +28,7 @@
     Json,
     Names,
     SettingError,
+    first_missing,
     read_ceilings,
     read_names,
     read_settings,
@@ -64,9 +65,11 @@
     settings: Settings
     names: Names
     ceilings: Ceilings
+    raw: Json
 
 
-def read_configuration(path: str | None) -> Configuration:
+def read_configuration(path: str | None, before: Json | None = None) -> Configuration:
+    """Reads and checks all of it. At a reload, all that was told at the start must be told again."""
     if not path:
         raise ConfigurationError("BALANCER_CONFIG names no file")
     try:
@@ -74,6 +77,9 @@
             told = orjson.loads(file.read())
         if not isinstance(told, dict):
             raise ConfigurationError(f"{path}: not an object")
+        missing = first_missing(told, before)
+        if missing is not None:
+            raise ConfigurationError(f"{path}: {missing} is missing")
         info = told.get("settings")
         if not isinstance(info, dict):
             raise ConfigurationError(f"{path}: settings is missing or not an object")
@@ -99,6 +105,7 @@
             read_settings(info),
             read_names(info),
             read_ceilings(info),
+            told,
         )
     except (OSError, orjson.JSONDecodeError, SettingError, ListError, ValueError) as problem:
         if isinstance(problem, ConfigurationError):
@@ -122,6 +129,7 @@
 
     def __init__(self, told: Configuration, path: str | None) -> None:
         self.told, self.path = told, path
+        self.first = told.raw  # a reload has to tell all that the start told
         self.stopping = asyncio.Event()
         self.figures = Figures()
         self.figures.know(list(told.names.classes))
@@ -136,7 +144,6 @@
         self.clients.can_serve = lambda: self.directory.can_serve
         self.shared = Shared(shared_folder()) if told.console is not None else None
         self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
-        self.copies = 0
         self._budget(1)
         self.figures.gauges |= {
             "tries": lambda: self.pools.written,
@@ -162,8 +169,6 @@
 
     def _budget(self, copies: int) -> None:
         """Takes this process's part of what all processes of the router may use."""
-        if copies == self.copies:
-            return
         self.copies = copies
         self.pools.most = self.told.sockets * 3 // 8 // copies
         room = room_for_values(self.told.memory, copies)
@@ -175,18 +180,38 @@
         """Takes up what another process of this router was told, and whether there is one."""
         if self.shared is not None and self.by_hand is not None:
             self.by_hand.look()
-            self._budget(2 if self.shared.others() else 1)
+            copies = 2 if self.shared.others() else 1
+            if copies != self.copies:
+                self._budget(copies)
             asyncio.get_running_loop().call_later(LOOK, self._look_around)
 
     def reload(self) -> None:
-        """Takes up what may change while the router runs: the address of discovery."""
+        """Takes up the settings and discovery's address, all or nothing. The addresses it listens on stay."""
         try:
-            endpoint = read_configuration(self.path).discovery
+            told = read_configuration(self.path, self.first)
         except ConfigurationError as problem:
+            self.figures.config_rejected += 1
             log.error("told to reload, but the configuration is of no use: %s", problem)
             return
-        log.info("told to reload: discovery at %s:%d", *endpoint)
-        self.watch.move(endpoint)
+        self.figures.config_applied += 1
+        log.info("told to reload: discovery at %s:%d", *told.discovery)
+        self._retune(told)
+        self.watch.move(told.discovery)
+
+    def _retune(self, told: Configuration) -> None:
+        names = told.names.after(self.told.names)
+        kinds = list(told.names.kinds)
+        if 0 <= told.settings.origin_kind < len(kinds):
+            told.settings.origin_kind = names.kinds[kinds[told.settings.origin_kind]]
+        told.names = self.clients.names = self.directory.names = names
+        self.directory.origin_kind = told.settings.origin_kind if told.settings.aside else -1
+        self.told = told
+        self.figures.know(list(names.classes))
+        self.driver.most_held = told.ceilings.most_held
+        self.pools.limit_times(told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
+        self.watch.must_ask = told.settings.must_ask
+        self._budget(self.copies)
+        self.driver.tell(api.Retuned(told.settings))
 
     async def start(self) -> None:
         loop, told = asyncio.get_running_loop(), self.told
--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -119,6 +119,13 @@
     since: int
 
 
+@dataclass(slots=True)
+class Retuned:
+    """Other settings hold from now on; requests that were taken before keep their class."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class Copies:
     """How many processes serve as this router now, each told of its own part of the work alone."""
@@ -206,7 +213,19 @@
     data: str
 
 
-Event = Members | ByHand | Copies | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage
+Event = (
+    Members
+    | ByHand
+    | Retuned
+    | Copies
+    | Request
+    | Opened
+    | Outcome
+    | Withdrawn
+    | Alarm
+    | Probed
+    | PeerMessage
+)
 
 
 @dataclass(slots=True)
--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -57,6 +57,11 @@
         self.mass = self.mass * math.exp((self.at - now) / self.span) + amount
         self.at = now
 
+    def stretch(self, now: int, span: int) -> None:
+        """Forgets over another span from now on; the rate stays."""
+        self.add(now, 0.0)
+        self.mass, self.span = self.mass * span / self.span, span
+
     def per_second(self, now: int) -> float:
         return self.mass * math.exp((self.at - now) / self.span) * SECOND / self.span
 
@@ -375,8 +380,7 @@
         self.shortest_aim = min(spec.aim for spec in settings.classes)
         self.monitor = Monitor(self.shortest_aim // 2)
         self.flow = Rate(4 * self.shortest_aim)
-        self.shares = [Rate(4 * self.shortest_aim) for _ in settings.tenants]
-        self.banks = [Bank() for _ in settings.tenants]
+        self._know_tenants()
         self.reads: dict[tuple[str, int], tuple[int, int]] = {}  # likely misses out: sent, slow from
         self.fetches: dict[str, list[Job]] = {}  # keys being read from the origin, and who waits for them
         self.agenda: list[tuple[int, int, Callable[[Job | None], None], Job | None]] = []
@@ -388,6 +392,7 @@
             api.Outcome: self._on_outcome,
             api.Members: self._on_members,
             api.ByHand: self._on_by_hand,
+            api.Retuned: self._on_retuned,
             api.Copies: self._on_copies,
             api.Withdrawn: self._on_withdrawn,
         }
@@ -411,7 +416,7 @@
     def avoided(self) -> int:
         """How many listed cache servers are left out now, by hand or by choice."""
         return sum(
-            name in self.by_hand or server.fails > 0
+            name in self.by_hand or (server.fails > 0 and not server.open(self.now))
             for name, server in self.servers.items()
             if server is not self.origin
         )
@@ -485,6 +490,22 @@
         server.listed = listed
         server.member = replace(server.member, state=api.State.DRAINING if out else listed)
 
+    def _on_retuned(self, event: api.Retuned) -> None:
+        """Jobs hold the class they came with; what is learned of servers and keys stays."""
+        before, self.settings = self.settings, event.settings
+        self.shortest_aim = min(spec.aim for spec in event.settings.classes)
+        self.ranges.turn = max(1, event.settings.ramp_time)
+        self.monitor.period = self.shortest_aim // 2
+        self.monitor.spent.stretch(self.now, 8 * self.monitor.period)
+        self.flow.stretch(self.now, 4 * self.shortest_aim)
+        if event.settings.tenants != before.tenants:
+            self._know_tenants()
+        self._deal()
+
+    def _know_tenants(self) -> None:
+        self.shares = [Rate(4 * self.shortest_aim, self.now) for _ in self.settings.tenants]
+        self.banks = [Bank(at=self.now) for _ in self.settings.tenants]
+
     def _on_copies(self, event: api.Copies) -> None:
         self.copies = event.count
 
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -93,7 +93,7 @@
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
 
-    def tell(self, event: api.Members | api.ByHand | api.Copies) -> None:
+    def tell(self, event: api.Members | api.ByHand | api.Retuned | api.Copies) -> None:
         """Passes on news that concerns no single request."""
         self._tell(event)
 
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -214,13 +214,16 @@
     """All pools: their number of sockets, and the sweep that closes what has idled too long."""
 
     def __init__(self, most: int, dial_timeout: float, keepalive: float) -> None:
-        self.most, self.dial_timeout = most, dial_timeout
-        self.idle_most = min(IDLE_MOST, keepalive * IDLE_PART)
+        self.most = most
+        self.limit_times(dial_timeout, keepalive)
         self.pools: dict[str, Pool] = {}
         self.leaving: list[Pool] = []  # replaced, with attempts still out
         self.sweeping = False
         self.written = 0  # attempts whose last byte is with the system
 
+    def limit_times(self, dial_timeout: float, keepalive: float) -> None:
+        self.dial_timeout, self.idle_most = dial_timeout, min(IDLE_MOST, keepalive * IDLE_PART)
+
     def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
         """The pool of a server; one at another endpoint takes the place of the old."""
         pool = self.pools.get(name)
--- a/applehub/settings.py
+++ b/applehub/settings.py
@@ -8,6 +8,7 @@
 FLEET_MODES = ("pushed", "on_request")
 CACHE_MODES = ("through", "aside")
 Json = dict[str, Any]
+OPTIONAL = frozenset({"aimStretch"})  # keys that may be absent, by the page on the wire
 LOAD = {
     "outstanding": "inflight",
     "backlog": "queue",
@@ -110,6 +111,14 @@
     zones: dict[str, int]
     kinds: dict[str, int]
 
+    def after(self, before: "Names") -> "Names":
+        """These names, but zones and kinds keep the indexes they had: servers that are known carry them."""
+        zones, kinds = dict(before.zones), dict(before.kinds)
+        for known, told in ((zones, self.zones), (kinds, self.kinds)):
+            for name in told:
+                known.setdefault(name, len(known))
+        return Names(self.classes, self.tenants, zones, kinds)
+
 
 @dataclass(slots=True)
 class Ceilings:
@@ -146,3 +155,30 @@
         dial_timeout=_count(ceilings, "ceilings.dialTimeout", 1, 250_000_000),
         keepalive=_count(ceilings, "ceilings.keepalive", 1, 60_000_000_000),
     )
+
+
+def first_missing(told: object, known: object, at: str = "configuration") -> str | None:
+    """The first key that was told before and is not told now, at any level. Each entry of a list is held to
+    the keys that all entries before had. Guards a reload against defaults that hide what a file lacks."""
+    if isinstance(known, list):
+        entries = [one for one in known if isinstance(one, dict)]
+        if not entries:
+            return None
+        if not isinstance(told, list) or not told:
+            return at
+        common = {key: None for key in entries[0] if all(one.get(key) is not None for one in entries)}
+        known_entry = {key: entries[0][key] for key in common if key not in OPTIONAL}
+        found = (first_missing(one, known_entry, f"{at}[{n}]") for n, one in enumerate(told))
+        return next((one for one in found if one is not None), None)
+    if not isinstance(known, dict):
+        return None
+    if not isinstance(told, dict):
+        return at
+    for key, value in known.items():
+        if value is None or key in OPTIONAL:
+            continue
+        if told.get(key) is None:
+            return f"{at}.{key}"
+        if key != "targets" and (deeper := first_missing(told[key], value, f"{at}.{key}")) is not None:
+            return deeper
+    return None
