Take long writes against one byte budget; read off and refuse those there is no room for

Lines at fault: Frames._measure (a longer length is an error), Connection._write, which copies the whole of a value ahead of the system, and two budgets whose limits together are more than the memory there is. A client may take its time over a value as long as it comes; a silence of 2.5 s still ends it.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -16,10 +16,10 @@
 from applehub.interface import Settings
 from applehub.logic import Balancer
 from applehub.node.byhand import ByHand
-from applehub.node.clients import MOST_BUFFERED, Clients
+from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
 from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
-from applehub.node.driver import MOST_HELD_BYTES, Driver
+from applehub.node.driver import Driver
 from applehub.node.figures import Figures
 from applehub.node.pool import Endpoint, Pools
 from applehub.node.shared import Shared
@@ -114,9 +114,9 @@
 
 
 def room_for_values(memory: int, copies: int = 1) -> int:
-    """The bytes of values that may wait in one place, by the limit in MB: a quarter of what the program
-    itself leaves, since a value passes through several buffers on its way. Copies share the limit."""
-    return (max(memory - OWN_MEMORY * copies, LEAST_MEMORY) << 20) // 4 // copies
+    """The bytes that may wait, by the limit in MB: half of what the program itself leaves, since some
+    stand in two buffers for a moment. Copies share the limit."""
+    return (max(memory - OWN_MEMORY * copies, LEAST_MEMORY) << 20) // 2 // copies
 
 
 def shared_folder() -> Path:
@@ -171,9 +171,7 @@
         """Takes this process's part of what all processes of the router may use."""
         self.copies = copies
         self.pools.most = self.told.sockets * 3 // 8 // copies
-        room = room_for_values(self.told.memory, copies)
-        self.driver.most_bytes = min(MOST_HELD_BYTES, room)
-        self.clients.most_buffered = min(MOST_BUFFERED, room)
+        self.driver.room.most = room_for_values(self.told.memory, copies)
         self.driver.tell(api.Copies(copies))
 
     def _look_around(self) -> None:
--- a/applehub/node/caches.py
+++ b/applehub/node/caches.py
@@ -2,6 +2,7 @@
 
 import re
 import time
+from collections.abc import Iterator
 
 import hiredis
 
@@ -9,7 +10,7 @@
 from applehub.node import resp
 from applehub.node.call import Ending, Exchange, read_load
 from applehub.node.pool import Connection, Pool
-from applehub.node.stream import Stream
+from applehub.node.stream import Stream, pieces_of
 
 LONG = re.compile(rb"\*([1-8])\r\n\$(\d{1,10})\r\n")  # the head of an answer that begins with a value
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
@@ -40,12 +41,17 @@
         self.stream: Stream | None = None
         self.left = 0  # bytes of the long value that are still to come
 
-    def encode(self, exchange: Exchange) -> bytes:
+    def encode(self, exchange: Exchange) -> Iterator[bytes | memoryview]:
         call = exchange.call
         # Guards against a dial's time told as time to work in: what is left counts from here.
         left = max(1, (exchange.until - time.monotonic_ns()) // 1_000_000)
         parts = [call.name, call.key, call.id, call.info_for(left)]
-        return resp.command(*parts, *([] if call.value is None else [call.value]))
+        if call.value is None:
+            yield resp.command(*parts)
+            return
+        yield b"*%d\r\n%b$%d\r\n" % (len(parts) + 1, b"".join(map(resp.bulk, parts)), len(call.value))
+        yield from pieces_of(call.value)
+        yield b"\r\n"
 
     def read(self, data: bytes) -> None:
         if self.left and self.stream is not None:
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -27,7 +27,7 @@
     key: bytes
     id: bytes
     info: bytes
-    value: bytes | None
+    value: bytes | bytearray | None
     cls: int
     kind: str  # the name of its class, which outlives the index
     tenant: int
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -12,11 +12,11 @@
 from applehub.node import resp
 from applehub.node.call import CallError, read_call
 from applehub.node.driver import Driver, Held
+from applehub.node.room import LONG_PART
 from applehub.node.stream import Reader, Stream
 from applehub.settings import Names
 
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
-MOST_BUFFERED = 32 << 20  # bytes of all connections that clients have not finished sending or reading
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
 BACKLOG = 1024  # clients that wait to be let in
@@ -62,13 +62,14 @@
 
     def __init__(self, server: "Clients") -> None:
         self.server = server
-        self.frames = resp.Frames()
+        self.frames = resp.Frames(self._admit)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.last = False  # nothing more is read; closed once all is answered
         self.advancing = self.blocked = self.lingering = False
         self.parted = False  # the end of the stream is written
-        self.buffered = 0
+        self.buffered = 0  # bytes counted in the room
+        self.reserved = 0  # of the room, for a long value that comes
         self.stuck: asyncio.TimerHandle | None = None
         self.late: asyncio.TimerHandle | None = None
         self.proven = False  # it has sent a whole command
@@ -87,6 +88,9 @@
     def data_received(self, data: bytes) -> None:
         if self.last or self.parted:
             return
+        if self.late is not None and self.frames.in_value:
+            self.late.cancel()  # a value may take its time, as long as it comes
+            self.late = None
         self.frames.feed(data)
         self.advance()
 
@@ -122,6 +126,13 @@
             self.stuck.cancel()
         self.advance()
 
+    def _admit(self, size: int) -> bool:
+        """Whether there is room for a long value that is announced; where not, it is read off and dropped."""
+        if not self.server.driver.room.reserve(size, LONG_PART):
+            return False
+        self.reserved += size
+        return True
+
     def _await_command(self) -> None:
         """Limits the time for a command. Guards the places of clients against peers that send nothing, or
         a part: a connection with nothing in work and no whole command is worth none."""
@@ -244,7 +255,7 @@
         return ended > 0
 
     def _command(self, parts: object) -> None:
-        if not isinstance(parts, list) or not all(isinstance(part, bytes) for part in parts):
+        if not isinstance(parts, list) or not all(isinstance(part, bytes | bytearray) for part in parts):
             raise resp.FramingError("expected an array of bulk strings")
         if not parts:
             return
@@ -260,6 +271,9 @@
             self._put(resp.error("unknown command"))
 
     def _call(self, parts: list[bytes]) -> None:
+        # From here on the driver counts the value, if it takes it.
+        self.server.driver.room.free(self.reserved)
+        self.reserved = 0
         try:
             call = read_call(parts, self.server.names)
         except CallError as problem:
@@ -291,9 +305,9 @@
         else:
             self.transport.resume_reading()
         held = len(self.frames.buffer) + self.transport.get_write_buffer_size()
-        self.server.buffered += held - self.buffered
+        self.server.driver.room.note(held - self.buffered)
         self.buffered = held
-        if self.server.buffered > self.server.most_buffered and held > resp.MOST_VALUE:
+        if self.server.driver.room.over and held > resp.MOST_VALUE:
             self.transport.abort()
 
 
@@ -303,7 +317,6 @@
     def __init__(self, driver: Driver, names: Names, most: int) -> None:
         self.driver, self.names, self.most = driver, names, most
         self.open: set[Client] = set()
-        self.buffered, self.most_buffered = 0, MOST_BUFFERED
         self.can_serve: Callable[[], bool] = lambda: False
         self.parting = self.closing = False
         self._empty = asyncio.Event()
@@ -343,7 +356,8 @@
 
     def gone(self, client: Client) -> None:
         self.open.discard(client)
-        self.buffered -= client.buffered
+        self.driver.room.free(client.buffered + client.reserved)
+        client.buffered = client.reserved = 0
         if self.parting and not self.open:
             self._empty.set()
 
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -186,7 +186,7 @@
         if self.transport is None:
             raise ConnectionResetError("discovery closed the connection")
         self.answer = asyncio.get_running_loop().create_future()
-        self.transport.write(self.http.request(b"GET", target.encode()))
+        self.transport.writelines(self.http.request(b"GET", target.encode()))
         answer = await self.answer
         if not self.http.next_cycle():
             self.close()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -14,12 +14,12 @@
 from applehub.node.call import Call, Ending, Exchange
 from applehub.node.figures import Answered, Figures
 from applehub.node.pool import Pools
+from applehub.node.room import Room
 from applehub.node.stream import Source, Stream
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
 WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
-MOST_HELD_BYTES = 48 << 20  # of the values that wait here
 log = logging.getLogger("applehub")
 
 
@@ -72,7 +72,7 @@
         self.figures = figures
         self.loop = asyncio.get_running_loop()
         self.held: dict[str, Held] = {}
-        self.held_bytes, self.most_bytes = 0, MOST_HELD_BYTES
+        self.room = Room()
         self.watch: Callable[[], None] = lambda: None
         self.stop_at = 0  # when all must be answered, once the router is told to stop
         self._events: deque[api.Event] = deque()
@@ -85,7 +85,7 @@
             self.figures.answered(call.kind, Answered.ERRORS)
             reply.fill(resp.error("this id is in use"))
             return None
-        if len(self.held) >= self.most_held or self.held_bytes + call.size > self.most_bytes:
+        if call.value is resp.DROPPED or len(self.held) >= self.most_held or not self.room.reserve(call.size):
             self.figures.answered(call.kind, Answered.SHED)
             reply.fill(resp.refused(0))  # not begun, so that repeating is harmless
             return None
@@ -94,7 +94,6 @@
         until = now + (spec.deadline if call.wait is None else call.wait * MILLI)
         until = min(until, self.stop_at or until)
         held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
-        self.held_bytes += call.size
         log.debug("%s taken: %s, %d ms", name, call.info.decode(), (until - now) // MILLI)
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
@@ -297,4 +296,4 @@
     def _forget(self, held: Held) -> None:
         """Drops a request that is answered and has no attempt out."""
         if not held.open and held.attempt is None and self.held.pop(held.id, None) is not None:
-            self.held_bytes -= held.call.size
+            self.room.free(held.call.size)
--- a/applehub/node/http1.py
+++ b/applehub/node/http1.py
@@ -1,10 +1,12 @@
 """One HTTP/1.1 exchange after another on a connection, without the sockets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import h11
 
+from applehub.node.stream import pieces_of
+
 
 class HttpError(ValueError):
     """What came is no answer of HTTP/1.1, or larger than wanted."""
@@ -39,18 +41,21 @@
         method: bytes,
         target: bytes,
         headers: list[tuple[bytes, bytes]] | None = None,
-        body: bytes | None = None,
-    ) -> bytes:
-        """The bytes of a request."""
+        body: bytes | bytearray | None = None,
+    ) -> Iterator[bytes | memoryview]:
+        """The bytes of a request, piece by piece."""
         all_headers = [(b"Host", self.host), *(headers or [])]
         if body is not None:
             all_headers.append((b"Content-Length", b"%d" % len(body)))
-        send = self.connection.send
-        parts = [send(h11.Request(method=method, target=target, headers=all_headers))]
-        if body:
-            parts.append(send(h11.Data(data=body)))
-        parts.append(send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        head = self.connection.send(h11.Request(method=method, target=target, headers=all_headers)) or b""
+        for piece in pieces_of(body or b""):
+            # Passed through as it is, so that a long body is not copied; only its length counts here.
+            self.connection.send_with_data_passthrough(h11.Data(data=piece))  # type: ignore[arg-type]
+            yield b"".join((head, piece)) if head else piece
+            head = b""
+        self.connection.send(h11.EndOfMessage())
+        if head:
+            yield head
 
     def receive(self, data: bytes) -> Answer | None:
         """Takes in what came, nothing at the end of the stream; gives the answer once it is whole."""
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -1,6 +1,6 @@
 """Connections to the origin: HTTP/1.1."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from urllib.parse import quote_from_bytes
 
 from applehub.interface import Status
@@ -26,7 +26,7 @@
         super().__init__(pool)
         self.http = Http(f"{pool.endpoint[0]}:{pool.endpoint[1]}", MOST_VALUE, self._open)
 
-    def encode(self, exchange: Exchange) -> bytes:
+    def encode(self, exchange: Exchange) -> Iterator[bytes | memoryview]:
         call = exchange.call
         headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", call.info)]
         target = f"/{quote_from_bytes(call.key, safe='')}".encode()
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -5,7 +5,7 @@
 import logging
 import socket
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import cast
 
 from applehub.interface import Status
@@ -28,13 +28,15 @@
         self.transport: asyncio.Transport | None = None
         self.dialling: asyncio.Task[None] | None = None
         self.taken = False  # the server accepted it
+        self.full = False  # the system takes no more for now
+        self.pieces: Iterator[bytes | memoryview] = iter(())  # what of it is still to be written
         self.unsent = True  # the last byte of what is asked is not yet with the system
         self.since = 0.0  # when it was opened
         self.idle_since = 0.0
 
     @abstractmethod
-    def encode(self, exchange: Exchange) -> bytes:
-        """The bytes to write for an attempt."""
+    def encode(self, exchange: Exchange) -> Iterator[bytes | memoryview]:
+        """What to write for an attempt, piece by piece."""
 
     @abstractmethod
     def read(self, data: bytes) -> None:
@@ -46,19 +48,26 @@
             self._write()
 
     def _write(self) -> None:
-        assert self.exchange is not None and self.transport is not None
+        assert self.exchange is not None
+        self.unsent, self.pieces = True, self.encode(self.exchange)
+        self._write_on()
+
+    def _write_on(self) -> None:
+        """Writes as much as the system takes. Guards memory: a long value is not copied ahead of that."""
+        assert self.transport is not None
         try:
-            asked = self.encode(self.exchange)
+            while not self.full:
+                piece = next(self.pieces, None)
+                if piece is None:
+                    self.unsent = False
+                    self.pool.pools.written += 1
+                    return
+                self.transport.write(piece)
+                if self.transport.is_closing():
+                    return  # a write that failed at once handed nothing over: what it asked for never ran
         except Exception:
             log.exception("an attempt could not be written")
             self.finish(Ending(Status.MOOT), reusable=False)
-            return
-        self.unsent = False
-        self.transport.write(asked)
-        # A write that failed at once handed nothing over: what it asked for never ran.
-        self.unsent = self.unsent or self.transport.is_closing()
-        if not self.unsent:
-            self.pool.pools.written += 1
 
     def give_up(self) -> bool:
         """Ends the attempt that is out; whether it may have run. Guards against second copies: the system
@@ -88,7 +97,7 @@
     def finish(self, ending: Ending, reusable: bool = True) -> None:
         """Ends the attempt; the connection is free before anybody hears of it."""
         exchange, self.exchange = self.exchange, None
-        if reusable:
+        if reusable and not self.unsent:
             self.resume()  # a long value may have stopped it
             self.pool.release(self)
         else:
@@ -124,12 +133,12 @@
             self._write()
 
     def pause_writing(self) -> None:
-        self.unsent = True
+        self.full = True
 
     def resume_writing(self) -> None:
+        self.full = False
         if self.unsent and self.exchange is not None:
-            self.pool.pools.written += 1
-        self.unsent = False
+            self._write_on()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -1,5 +1,7 @@
 """RESP2 as the router reads and writes it."""
 
+import re
+from collections.abc import Callable
 from typing import Any
 
 import hiredis
@@ -8,7 +10,10 @@
 MOST_LONG = 8 << 20  # bytes of a value that is passed on piece by piece
 MOST_LINE = 1024
 MOST_ITEMS = 8
+WRITE_ITEMS = 5  # parts of a write, its value last
+WRITE = re.compile(rb"\*5\r\n\$5\r\nC\.SET\r\n", re.IGNORECASE)
 MOST_FRAME = 5 * MOST_VALUE  # a write has four large parts at the most
+DROPPED = bytearray()  # a long value that there was no room for
 WAITING = object()  # no whole value has come yet
 FAILED = b"-ERR failed\r\n"
 
@@ -43,18 +48,35 @@
 
 class Frames:
     """Cuts a stream into whole values. Guards against lengths that lie: hiredis makes room for what a
-    header announces and does not look at what ends a string, so it gets whole, measured values only."""
+    header announces and does not look at what ends a string, so it gets whole, measured values only.
 
-    __slots__ = ("at", "buffer", "missing", "reader")
+    Where long values are admitted, the last part of a write may be one: it is collected apart, or dropped
+    if there is no room, and an empty string stands in its place until the command is whole."""
 
-    def __init__(self) -> None:
+    __slots__ = ("admit", "at", "buffer", "items", "left", "long", "missing", "reader")
+
+    def __init__(self, admit: Callable[[int], bool] | None = None) -> None:
+        self.admit = admit  # asked with the length of a long value whether there is room for it
         self.buffer = bytearray()
         self.at, self.missing = 0, 1  # how far it is measured, and how many values that lacks
+        self.items = 0  # of the array that is measured
+        self.left = 0  # bytes of a long value still to come
+        self.long: bytearray | None = None  # and those that came
         self.reader = hiredis.Reader()
 
     def feed(self, data: bytes) -> None:
+        if self.left:
+            piece, data = data[: self.left], data[self.left :]
+            self.left -= len(piece)
+            if self.long is not None and self.long is not DROPPED:
+                self.long += piece
         self.buffer += data
 
+    @property
+    def in_value(self) -> bool:
+        """Whether all of a write is here but the end of its value."""
+        return self.items == WRITE_ITEMS and self.missing == 1
+
     def replace(self, data: bytes) -> None:
         """Begins anew with these bytes."""
         self.buffer[:] = data
@@ -69,11 +91,20 @@
                 raise FramingError("too large")
         self.reader.feed(bytes(self.buffer[: self.at]))
         del self.buffer[: self.at]
-        self.at, self.missing = 0, 1
+        self.at, self.missing, self.items = 0, 1, 0
         try:
-            return self.reader.gets()
+            value = self.reader.gets()
         except hiredis.ProtocolError as problem:
             raise FramingError(str(problem)) from None
+        if self.long is not None:
+            value[-1], self.long = self.long, None
+        return value
+
+    def _collect(self, at: int, end: int, size: int) -> None:
+        came = self.buffer[end : end + size]
+        self.long = came if self.admit is not None and self.admit(size) else DROPPED
+        self.left = size - len(came)
+        self.buffer[at : end + len(came)] = b"$0\r\n"
 
     def _measure(self) -> bool:
         """Steps over one value, or the head of an array; whether it was there."""
@@ -93,9 +124,14 @@
             # Guards against arrays in arrays without end: neither side has any, and each takes time.
             if at:
                 raise FramingError("an array in an array")
-            self.missing += max(0, _length(line, MOST_ITEMS))
+            self.items = _length(line, MOST_ITEMS)
+            self.missing += max(0, self.items)
         elif kind == b"$":
-            size = _length(line, MOST_VALUE)
+            long = self.admit is not None and self.in_value and WRITE.match(buffer) is not None
+            size = _length(line, MOST_LONG if long else MOST_VALUE)
+            if size > MOST_VALUE:
+                self._collect(at, end, size)
+                return self._measure()
             if size >= 0:
                 if len(buffer) < end + size + 2:
                     return False
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -2,13 +2,18 @@
 
 import asyncio
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 PIECE = 64 * 1024  # bytes read from a socket at once
 _piece = bytearray(PIECE)
 
 
+def pieces_of(value: bytes | bytearray) -> Iterator[memoryview]:
+    whole = memoryview(value)
+    return (whole[at : at + PIECE] for at in range(0, len(value), PIECE))
+
+
 class Reader(asyncio.BufferedProtocol):
     """Reads its socket into one buffer that all share: what comes is taken out before another can read."""
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -87,7 +87,7 @@
 
 async def test_figures_add_up() -> None:
     async with router(lambda asked, line: MISS if asked[1] == b"far" else None) as bench:
-        bench.driver.most_bytes = 1024
+        bench.driver.room.most = 1024
         caller = await bench.caller()
         caller.get(b"far", b"i1")
         assert await caller.answer() == b"from origin"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -252,7 +252,7 @@
 
 def test_values_that_wait_leave_the_program_its_memory() -> None:
     """The terms go down to 32 MB, where the bounds for the largest router were over the limit alone."""
-    assert [room_for_values(memory) >> 20 for memory in (32, 64, 192)] == [1, 9, 41]
+    assert [room_for_values(memory) >> 20 for memory in (32, 64, 192)] == [3, 19, 83]
 
 
 async def test_on_sighup_the_program_asks_discovery_where_it_is_now(tmp_path: Path) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -297,7 +297,7 @@
 
 async def test_values_past_the_bound_are_refused() -> None:
     async with router() as bench:
-        bench.driver.most_bytes = 1024
+        bench.driver.room.most = 1024
         caller = await bench.caller()
         caller.send(b"C.SET", b"k", b"w1", b"c=put,t=acme,d=9000,k=77", bytes(2048))
         caller.send(b"C.SET", b"k", b"w2", b"c=put,t=acme,d=9000,k=78", bytes(512))
@@ -315,7 +315,7 @@
         await soon(lambda: bench.clients.open)
         await soon(lambda: not bench.clients.open)
         await soon(lambda: not bench.driver.held)
-        assert bench.clients.buffered == 0
+        assert bench.driver.room.used == 0
 
 
 async def test_a_fault_in_a_decision_fails_that_request_and_no_other(
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -11,7 +11,8 @@
 from support import MILLI, SECOND, Router
 
 from applehub import interface as api
-from applehub.node import resp
+from applehub.node import clients, resp
+from applehub.node.call import Call, Exchange
 from applehub.node.stream import PIECE
 
 LONG = bytes(range(256)) * 4096  # 1 MiB
@@ -175,3 +176,121 @@
         head = len(b"$%d\r\n" % len(LONG))
         rest = await whole(caller, head + len(LONG) + 2 - 100_000)
         assert rest == LONG[100_000 - head :] + b"\r\n"
+
+
+def write(value: bytes, name: bytes = b"w1", wait: int = 9000) -> bytes:
+    return resp.command(b"C.SET", b"k", name, b"c=put,t=acme,d=%d,k=77" % wait, value)
+
+
+@pytest.mark.parametrize("size", [0, 1, resp.MOST_VALUE, resp.MOST_VALUE + 1, len(LONG)])
+async def test_a_write_of_any_size_goes_on_as_it_came(size: int) -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(write(LONG[:size]) + resp.command(b"PING"))
+        assert await caller.answer() == b"from origin"
+        assert await caller.answer() == b"PONG"
+        method, _, headers, body = bench.origin.got[0]
+        assert (method, body) == (b"PUT", LONG[:size]) and headers[b"x-call-id"] == b"w1"
+        await soon(lambda: not bench.driver.held and not bench.clients.open.pop().buffered)
+        assert bench.driver.room.used == 0 and bench.pools.written == 1
+
+
+async def test_a_long_write_may_come_in_pieces_of_any_size() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        sent = write(LONG) + write(LONG[:70_000], b"w2")
+        cuts = [*range(60), 61, 900, 70_000, len(LONG), len(LONG) + 30, len(sent) - 1, len(sent)]
+        for start, end in itertools.pairwise(cuts):
+            caller.writer.write(sent[start:end])
+            await asyncio.sleep(0.002)
+        assert [await caller.answer() for _ in range(2)] == [b"from origin"] * 2
+        assert sorted(body for _, _, _, body in bench.origin.got) == [LONG[:70_000], LONG]
+
+
+async def test_a_long_write_with_no_room_is_refused_and_the_next_command_is_found() -> None:
+    async with router() as bench:
+        bench.driver.room.most = len(LONG) // 2
+        caller = await bench.caller()
+        caller.writer.write(write(LONG) + write(b"short", b"w2") + resp.command(b"PING"))
+        assert str(await caller.answer()) == "BUSY"
+        assert [await caller.answer() for _ in range(2)] == [b"from origin", b"PONG"]
+        assert [body for _, _, _, body in bench.origin.got] == [b"short"]
+        assert bench.driver.figures.responses["put"]["shed"] == 1  # type: ignore[index]
+        await soon(lambda: not bench.driver.held)
+        assert bench.driver.room.used == 0
+
+
+async def test_the_room_of_a_long_write_is_reserved_at_its_head_and_freed_when_its_client_leaves() -> None:
+    async with router() as bench:
+        bench.driver.room.most = 2 * len(LONG)
+        caller, other = await bench.caller(), await bench.caller()
+        caller.writer.write(write(LONG)[:100])
+        await soon(lambda: bench.driver.room.used >= len(LONG))
+        other.writer.write(write(LONG, b"w2"))
+        assert str(await other.answer()) == "BUSY"  # long writes leave a part to reads
+        other.get(name=b"i1")
+        assert await other.answer() == b"v"
+        caller.writer.transport.abort()
+        await soon(lambda: len(bench.clients.open) == 1)
+        other.writer.write(write(LONG, b"w3"))
+        assert await other.answer() == b"from origin"
+
+
+async def test_a_slow_write_is_waited_for_while_it_comes(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "PROMPT", 0.2)
+    async with router() as bench:
+        caller = await bench.caller()
+        sent = write(LONG[:100_000])
+        for at in range(0, len(sent), 10_000):
+            caller.writer.write(sent[at : at + 10_000])
+            await asyncio.sleep(0.05)
+        assert await caller.answer() == b"from origin"
+        caller.writer.write(sent[:50_000])
+        assert str(await caller.answer()) == "ERR Protocol error: no whole command in time"
+        assert await caller.answer() is None
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"*4\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$2\r\nw1\r\n$70000\r\n",
+        b"*5\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nw1\r\n$5\r\nc=put\r\n$70000\r\n",
+        b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$70000\r\n",
+        b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$2\r\nw1\r\n$5\r\nc=put\r\n$%d\r\n" % (resp.MOST_LONG + 1),
+    ],
+)
+async def test_only_the_value_of_a_write_may_be_long(head: bytes) -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(head)
+        assert str(await caller.answer()).startswith("ERR Protocol error")
+        assert await caller.answer() is None
+
+
+async def test_a_long_value_not_ended_as_announced_loses_the_framing() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(write(LONG[:70_000])[:-2] + b"xx")
+        assert str(await caller.answer()).startswith("ERR Protocol error")
+        await soon(lambda: not bench.clients.open)
+        assert bench.driver.room.used == 0 and not bench.origin.got
+
+
+async def test_an_answer_before_the_last_byte_ends_the_connection_to_the_origin() -> None:
+    """The rest of what was asked would come before the next request."""
+
+    async def early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(http(503, b"", b"X-Rejected: 1\r\n"))
+        await asyncio.sleep(PATIENCE)
+
+    async with router() as bench:
+        server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1024)
+        pool = bench.pools.pools["o"]
+        pool.endpoint = server.sockets[0].getsockname()[:2]
+        call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, "put", 0, 9000, False)
+        statuses: list[api.Status] = []
+        pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
+        await soon(lambda: statuses)
+        assert statuses == [api.Status.FULL] and not pool.all and bench.pools.written == 0
+        server.close()
