Give each command its own time to come whole

Seen: test_thousands_of_commands_at_once, in a run with coverage: "no whole command in time" for a client that had sent thousands of whole ones. Lines at fault: Client._await_command armed its timer at the first half of a command and left it on while later commands came whole, as long as each read ended within another; reads of 64 KiB instead of 256 show it. Ruled out: slow framing (40,000 commands take 0.9 s, 6 s before the smaller reads).

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -88,9 +88,8 @@
     def data_received(self, data: bytes) -> None:
         if self.last or self.parted:
             return
-        if self.late is not None and self.frames.in_value:
-            self.late.cancel()  # a value may take its time, as long as it comes
-            self.late = None
+        if self.frames.in_value:
+            self._forgive()  # a value may take its time, as long as it comes
         self.frames.feed(data)
         self.advance()
 
@@ -139,7 +138,11 @@
         waits = not self.slots and not self.last and (not self.proven or bool(self.frames.buffer))
         if waits and self.late is None:
             self.late = asyncio.get_running_loop().call_later(PROMPT, self._too_late)
-        elif not waits and self.late is not None:
+        elif not waits:
+            self._forgive()
+
+    def _forgive(self) -> None:
+        if self.late is not None:
             self.late.cancel()
             self.late = None
 
@@ -294,6 +297,7 @@
         slot = Slot(self)
         self.slots.append(slot)
         self.proven = True
+        self._forgive()  # what is begun behind this command has its own time
         return slot
 
     def _steer(self) -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -669,3 +669,18 @@
             raw.sendall(resp.command(b"C.GET", b"k", b"i1", INFO))
             await soon(lambda: not bench.clients.open)
             assert raw.recv(100) == b"$1\r\nv\r\n" and raw.recv(100) == b""
+
+
+async def test_each_command_has_its_own_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client whose reads always ended within a command was closed, however many it had sent whole."""
+    monkeypatch.setattr(clients, "PROMPT", PATIENCE)
+    async with router() as bench:
+        caller = await bench.caller()
+        ping = resp.command(b"PING")
+        caller.writer.write(ping + ping[:3])
+        assert await caller.answer() == b"PONG"
+        (client,) = bench.clients.open
+        first = client.late
+        caller.writer.write(ping[3:] + ping[:3])
+        assert await caller.answer() == b"PONG"
+        assert first is not None and first.cancelled() and client.late is not None
