Read from the idle origin, for a token, what no cache may take

One refused request after another had no attempt: _place found the eight servers restarted in the last 8 s closed to keys they had not taken up ("C"), and the four warm ones swamped (e.g. at 16.24 s "ready=12 cold=8 warmth=2.7 out=3 oout=7 olat=31"; of 40 requests a period the origin had 1 to 8, at its uncrowded 26 ms). Lines at fault: Balancer._proceed, which refuses where _place finds nobody. The ordinary path is as it was: such a read spends a token, waits for nobody, and only goes where the origin expects to answer within twice its uncrowded time.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -24,6 +24,7 @@
 SLOW_IF_MARKED = 1 / 4  # the same for marked work, which is shed first: a mean there leaves e^-4 late
 CROWD, CROWD_IF_MARKED = 4, 2  # times its uncrowded answer time at which a server is swamped
 WRITE_SLACK = 2  # times its aim that a write must expect at the origin before it is not sent
+SPARE = 2  # times its uncrowded answer time up to which the origin is idle
 NO_CROWD = 1 << 20  # no limit by it
 RISE = 1 / 4  # part of its first r that r rises by in a healthy period
 CALM_PERIODS = 8  # healthy periods with a full bank before the throttle goes off
@@ -94,7 +95,7 @@
     likely_miss: bool = False  # its key was not lately seen hit; in through mode, not lately sent
     skip: int = 0  # owners of a hot key's ranges that this request passes by
     at_origin: bool = False  # a write, or a read that missed
-    opened: bool = False  # a long answer has begun
+    apart: bool = False  # what becomes of its origin read tells nothing of the caches
     made: int = 0  # attempts so far
     live: dict[int, "tuple[Server, int]"] = field(default_factory=dict)  # may have run: where, when sent
     out: set[int] = field(default_factory=set)
@@ -642,7 +643,7 @@
     def _proceed(self, job: Job | None) -> None:
         if job is None or job.request.id not in self.jobs or job.out:
             return  # ended meanwhile; and never are two attempts out
-        server = self.origin if job.at_origin else self._place(job)
+        server = self.origin if job.at_origin else self._place(job) or self._spare(job)
         # Guards against work that keeps a jammed origin jammed: the rule for swamped servers holds here too.
         # Guards against reads that crowd writes out: a write has nowhere else to go, so reads are shed first.
         limit = job.spec.aim * (WRITE_SLACK if job.request.write else SLOW)
@@ -652,6 +653,22 @@
         else:
             self._send(job, server)
 
+    def _spare(self, job: Job) -> Server | None:
+        """The origin, for a read that no cache may take, while it is idle. Guards against a fleet short of
+        warm servers beside an origin with room. It spends a token, as each origin read does."""
+        origin, throttle = self.origin, self.monitor.throttle
+        idle = origin is not None and origin.predict() <= SPARE * origin.base
+        if not idle or job.request.key is None or job.request.write or job.marked or job.made:
+            return None
+        if throttle is not None:
+            self._release(None)
+            if throttle.queue or not throttle.offer(job):
+                throttle.leave(job)
+                return None
+        self.monitor.spent.add(self.now)
+        job.at_origin = job.apart = True
+        return origin
+
     def _too_late(self, job: Job, server: Server) -> bool:
         """Guards against second tries that can't be timely: they take from those that can. What the origin
         reads is kept for others, and what still earns something late is worth a try."""
@@ -735,7 +752,7 @@
             self.reads[job.request.id, job.made - 1] = (self.now, self.now + int(job.spec.aim * SLOW))
         if key is not None and not self.settings.aside:
             self.memory.put(key, self.now)
-        elif key is not None and read:
+        elif key is not None and read and not job.apart:
             self.fetches.setdefault(key, [])
         self.actions.append(api.Send(job.request.id, server.member.server, max(timeout, 0)))
 
@@ -777,7 +794,8 @@
         job = self.jobs.get(event.id)
         if job is not None:
             self._end(job)
-            if job.at_origin and job.out and job.request.key is not None and not job.request.write:
+            read = job.at_origin and not job.apart and not job.request.write
+            if read and job.out and job.request.key is not None:
                 self._fetched(job.request.key, False)  # what nobody waits for is not stored
 
     def _on_opened(self, event: api.Opened) -> None:
@@ -788,10 +806,10 @@
         job = self.jobs.get(event.id)
         if job is None:
             return
-        job.opened = True
-        if job.at_origin and job.request.key is not None and not job.request.write:
+        if job.at_origin and not job.apart and job.request.key is not None and not job.request.write:
             self.memory.put(job.request.key, self.now)
             self._fetched(job.request.key, True)
+        job.apart = True
 
     def _on_outcome(self, event: api.Outcome) -> None:
         job = self.jobs.get(event.id)
@@ -809,7 +827,7 @@
     def _closed(self, job: Job, event: api.Outcome) -> None:
         self._end(job)
         key, answered = job.request.key, event.status is api.Status.OK
-        if key is None or job.request.write or (job.opened and job.at_origin):
+        if key is None or job.request.write or (job.apart and job.at_origin):
             return
         if job.at_origin:
             if answered:
@@ -839,7 +857,7 @@
                 self._spend(job)  # the network broke it: the origin has neither failed nor refused it
             else:
                 self._after_origin(job)
-            if key is not None and read and not job.out:
+            if key is not None and read and not job.out and not job.apart:
                 self._fetched(key, False)
         elif unfetched or late or (status is api.Status.FULL and (job.marked or job.made > 1)):
             self._give_up(job)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -15,6 +15,7 @@
     Monitor,
     Popularity,
     Server,
+    Throttle,
 )
 
 S = api.Status
@@ -886,3 +887,58 @@
         server.latency = server.base = 0.3 * SECOND  # calm: within 3/4 of the aim
         router.now += late * SECOND // 10
         assert bool(sends(router.end(first, S.RESET))) == again
+
+
+def swamped(**changes: object) -> Router:
+    """A router whose caches are all too slow to take more, beside an origin that is not."""
+    router = Router(settings(**changes))
+    for n in range(20):
+        router.serve(f"warm{n}")
+    for server in router.balancer.servers.values():
+        if server is not router.balancer.origin:
+            server.latency, server.base, server.out = 2.0 * SECOND, 10.0 * MILLI, 1
+    return router
+
+
+def test_a_read_that_no_cache_may_take_goes_to_the_origin_while_that_is_idle() -> None:
+    """upgrade+hand: 44% refused with four of twelve servers warm, the origin at its uncrowded 26 ms."""
+    router = swamped()
+    _, (send,) = router.ask("warm1")
+    assert isinstance(send, api.Send) and send.server == "origin"
+    assert not router.balancer.fetches  # no cache missed, so none is filled: nobody should wait for it
+    seen = dict(router.balancer.memory.seen)
+    router.end(send, api.Status.OK)
+    assert router.balancer.memory.seen == seen
+    origin = router.balancer.origin
+    assert origin is not None
+    origin.out = 9
+    _, (refused,) = router.ask("warm2")
+    assert isinstance(refused, api.Refuse)
+    _, (refused,) = router.ask("warm2", cls=1)
+    assert isinstance(refused, api.Refuse)
+
+
+def test_such_a_read_spends_a_token_and_is_refused_where_there_is_none() -> None:
+    router = swamped()
+    router.balancer.monitor.throttle = throttle = Throttle(router.now, 1.0, 10)
+    kinds = []
+    for _ in range(4):
+        _, (action,) = router.ask("warm1")
+        kinds.append(type(action))
+        if isinstance(action, api.Send):
+            router.end(action, api.Status.OK)
+    assert kinds == [api.Send, api.Send, api.Refuse, api.Refuse]
+    assert throttle.level == 0 and not throttle.queue
+
+
+def test_such_a_read_that_fails_is_refused_and_tells_no_cache_of_its_key() -> None:
+    router = swamped()
+    name, (send,) = router.ask("warm1")
+    (refused,) = router.end(send, api.Status.FULL)
+    assert isinstance(refused, api.Refuse) and name not in router.balancer.jobs
+    router = swamped()
+    name, (send,) = router.ask("warm1")
+    assert isinstance(send, api.Send)
+    router.tell(api.Withdrawn(name))
+    router.tell(api.Outcome(name, 0, send.server, api.Status.OK, True, MILLI))
+    assert not router.balancer.fetches
