--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -180,6 +180,8 @@
             self.by_hand.look()
             copies = 2 if self.shared.others() else 1
             if copies != self.copies:
+                alone = "no other process serves any more"
+                log.info("another process serves beside this one" if copies > 1 else alone)
                 self._budget(copies)
             asyncio.get_running_loop().call_later(LOOK, self._look_around)
 
--- a/applehub/node/byhand.py
+++ b/applehub/node/byhand.py
@@ -1,5 +1,6 @@
 """Cache servers that operators left out: their calls, and what the other process was told of them."""
 
+import logging
 from collections.abc import Callable
 
 from applehub import interface as api
@@ -7,6 +8,8 @@
 from applehub.node.discovery import Directory
 from applehub.node.shared import Shared, Told
 
+log = logging.getLogger("applehub")
+
 
 class ByHand:
     """Carries calls to the list, to the decisions and, through the shared file, to the other process."""
@@ -45,6 +48,7 @@
             if self.told.get(name) == one:
                 continue
             self.told[name] = one
+            log.info("server %s is %s by hand", name, "left out" if one.out else "put back")
             self.directory.leave_out(name, one.out)
             since = max(1, one.at * 1_000_000 - self.directory.origin_of_time)
             self.tell(api.ByHand(name, one.out, since))
