--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """Rules 1 to 3 over random legal event sequences, judged by an oracle that shares no code with the module."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,7 +21,7 @@
 class Held:
     """A request as the oracle sees it."""
 
-    cls: int
+    spec: api.RequestClass  # the one it came with, whatever is told later
     deadline: int
     attempts: list[tuple[str, int, str]] = field(default_factory=list)  # server, sent, outcome or ""
     ended: bool = False
@@ -50,6 +50,7 @@
         self.due.clear()
         self.alarms.clear()
         self.left: dict[str, int] = {}  # servers told as draining or gone, and when
+        self.out: dict[str, int] = {}  # servers left out by hand, and when
         self.known = {
             one.server: one for one in fleet(self.dice.choice([0, 1, 4, 7]), self.dice.random() < 0.9)
         }
@@ -72,10 +73,11 @@
         assert not one.ended, "rule 1: sent for an ended request"
         assert action.server in self.known, "sent to a server no list named"
         assert self.now <= self.left.get(action.server, self.now) + GRACE, "rule 3: sent to a draining server"
+        assert self.now <= self.out.get(action.server, self.now) + GRACE, "rule 3: sent to one out by hand"
         assert len(one.attempts) < self.options.max_attempts
         assert all(outcome for _, _, outcome in one.attempts), "rule 2: two attempts out at once"
         ran = [(server, sent) for server, sent, outcome in one.attempts if outcome not in PROVEN]
-        spec = self.options.classes[one.cls]
+        spec = one.spec
         if ran and spec.effect == "unsafe":
             raise AssertionError("rule 2: an unsafe request that may have run was sent again")
         if ran and spec.effect == "keyed":
@@ -97,7 +99,7 @@
         one = self.held[action.id]
         assert not one.ended, "rule 1: a second final answer"
         assert self.now <= one.deadline + 20 * MILLI, "rule 1: late"
-        spec = self.options.classes[one.cls]
+        spec = one.spec
         ran = any(outcome not in PROVEN for _, _, outcome in one.attempts)
         if isinstance(action, api.Refuse) and ran and spec.effect != "safe":
             assert spec.effect == "keyed" and spec.group == "all", "rule 2: refused though it may have run"
@@ -108,7 +110,7 @@
         spec = self.options.classes[cls]
         name = f"r{len(self.held)}"
         deadline = self.now + int(spec.deadline * self.dice.uniform(0.05, 1))
-        self.held[name] = Held(cls, deadline)
+        self.held[name] = Held(spec, deadline)
         key = self.dice.choice([None, "hot", f"k{self.dice.randrange(60)}"])
         write = spec.effect != "safe" and self.options.aside
         self.play(
@@ -166,7 +168,8 @@
         self.trouble = self.dice.choice([0.02, 0.3, 0.95])
         for _ in range(steps):
             self.advance(self.now + self.dice.choice([0, MILLI, 20 * MILLI, 300 * MILLI]))
-            self.dice.choices([self.arrive, self.relist, self.withdraw, self.restart], [40, 4, 2, 0.3])[0]()
+            turns = [self.arrive, self.relist, self.withdraw, self.by_hand, self.retune, self.restart]
+            self.dice.choices(turns, [40, 4, 2, 2, 0.5, 0.3])[0]()
         self.advance(self.now + 10 * SECOND)
         assert all(one.ended for one in self.held.values()), "rule 1: no answer"
 
@@ -195,6 +198,27 @@
             self.held[name].ended = True
             self.play(api.Withdrawn(name))
 
+    def by_hand(self) -> None:
+        """Operators leave a server out, perhaps twice, or put one back."""
+        name = self.dice.choice([*sorted(self.known), "c0"])
+        if name == "origin":
+            return
+        out = self.dice.random() < 0.5
+        if out:
+            self.out.setdefault(name, self.now)
+        else:
+            self.out.pop(name, None)
+        self.play(api.ByHand(name, out, self.now))
+
+    def retune(self) -> None:
+        """Classes move, some become stricter, and the number of attempts changes."""
+        classes = [replace(one) for one in self.options.classes]
+        self.dice.shuffle(classes)
+        classes[0].effect = self.dice.choice([classes[0].effect, api.Effect.UNSAFE])
+        most = self.dice.choice([1, 2, 4])
+        self.options = replace(self.options, classes=classes, max_attempts=most)
+        self.play(api.Retuned(self.options))
+
     def restart(self) -> None:
         self.start()
 
