Tell clients refused for lack of room when to come back, as the module's refusals do

Seen: a long write with no room, and a call past the number that may be held, got a bare -BUSY where the settings allow a time. Lines at fault: Driver.take. Measured by its test alone.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -424,6 +424,11 @@
             if server is not self.origin
         )
 
+    @property
+    def come_back(self) -> int:
+        """How long a client that is refused should stay away, where it may be told."""
+        return min(self.shortest_aim, self.settings.max_retry_after) if self.settings.retry_after else 0
+
     def _later(self, delay: int, call: Callable[[Job | None], None], job: Job | None = None) -> None:
         self.entries += 1
         heapq.heappush(self.agenda, (self.now + delay, self.entries, call, job))
@@ -779,8 +784,7 @@
         effect, name = job.spec.effect, job.request.id
         dropped = effect is api.Effect.KEYED and job.spec.group == "all"
         if effect is api.Effect.SAFE or not job.live or (dropped and self._in_window(job)):
-            later = min(self.shortest_aim, self.settings.max_retry_after) if self.settings.retry_after else 0
-            self.actions.append(api.Refuse(name, later))
+            self.actions.append(api.Refuse(name, self.come_back))
         else:
             self.actions.append(api.Fail(name))
         self._end(job)
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -87,7 +87,7 @@
             return None
         if call.value is resp.DROPPED or len(self.held) >= self.most_held or not self.room.reserve(call.size):
             self.figures.answered(call.kind, Answered.SHED)
-            reply.fill(resp.refused(0))  # not begun, so that repeating is harmless
+            reply.fill(resp.refused(-(-self.balancer.come_back // MILLI)))  # not begun: repeating is harmless
             return None
         now = time.monotonic_ns()
         spec = self.balancer.settings.classes[call.cls]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -184,3 +184,14 @@
         assert bench.driver.figures.responses["read"]["ok"] == 1  # type: ignore[index]
         caller.get(name=b"i2")
         assert str(await caller.answer()) == "ERR unknown class"
+
+
+async def test_two_processes_share_what_one_may_use(tmp_path: Path) -> None:
+    running = wired(tmp_path / "config.json")
+    alone = (running.pools.most, running.driver.room.most)
+    running._budget(2)
+    assert running.pools.most * 2 == alone[0] and running.driver.balancer.copies == 2
+    # Both programs' own memory goes off before the rest is shared.
+    assert running.driver.room.most * 2 < alone[1]
+    running._budget(1)
+    assert (running.pools.most, running.driver.room.most) == alone
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -208,11 +208,11 @@
 
 
 async def test_a_long_write_with_no_room_is_refused_and_the_next_command_is_found() -> None:
-    async with router() as bench:
+    async with router(retryAfter=True, maxRetryAfter=70 * MILLI) as bench:
         bench.driver.room.most = len(LONG) // 2
         caller = await bench.caller()
         caller.writer.write(write(LONG) + write(b"short", b"w2") + resp.command(b"PING"))
-        assert str(await caller.answer()) == "BUSY"
+        assert str(await caller.answer()) == "BUSY 70"
         assert [await caller.answer() for _ in range(2)] == [b"from origin", b"PONG"]
         assert [body for _, _, _, body in bench.origin.got] == [b"short"]
         assert bench.driver.figures.responses["put"]["shed"] == 1  # type: ignore[index]
