Turn down console calls with superfluous arguments, and tell apart a socket that listens nowhere

Cause: HEALTH and DUMP ignored what followed them, and a missing id was answered as an unknown one; an inherited descriptor that is a socket but does not listen failed later, with the system's words alone. Change: each call says what it takes; the descriptor is asked whether it listens (SO_ACCEPTCONN) before it is used, and left open where it does not.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -315,6 +315,18 @@
             self.transport.abort()
 
 
+def inherited_listener(descriptor: int) -> socket.socket:
+    """The listening socket behind a descriptor; raises an OSError that says what is there instead."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+    except OSError as problem:
+        raise OSError(f"the inherited descriptor {descriptor} is no socket: {problem.strerror}") from None
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.detach()  # it is the platform's
+        raise OSError(f"the inherited descriptor {descriptor} is a socket that listens nowhere")
+    return listener
+
+
 class Clients:
     """The listener and its connections."""
 
@@ -338,7 +350,7 @@
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             listener = socket.create_server((host, port), family=family)
         else:
-            listener = socket.socket(fileno=inherited)
+            listener = inherited_listener(inherited)
         # Guards the descriptors: asyncio lets in as many in one turn as may queue, before the first of them
         # can be turned away. So it is told of a few, and the system of the true length of the queue.
         self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=LET_IN)
--- a/applehub/node/console.py
+++ b/applehub/node/console.py
@@ -9,6 +9,7 @@
 MOST_LINE = 512  # bytes of a call
 PROMPT = 2.5  # s in which a caller must send its line
 Handler = Callable[[str], str]
+ALONE = frozenset({"HEALTH", "DUMP"})  # calls that take nothing; each other takes one cache server's id
 log = logging.getLogger("applehub")
 
 
@@ -84,8 +85,12 @@
         call = self.calls.get(word.upper())
         if call is None:
             return "-ERR unknown call"
+        rest = rest.strip()
+        if bool(rest) is (word.upper() in ALONE):
+            needs = "takes no argument" if rest else "needs the id of a cache server"
+            return f"-ERR {word.upper()} {needs}"
         try:
-            return call(rest.strip())
+            return call(rest)
         except CallError as problem:
             return f"-ERR {problem}"
         except Exception:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -10,6 +10,7 @@
 from peers import MISS, PATIENCE, info, router, soon
 
 from applehub.node import console
+from applehub.node.clients import inherited_listener
 from applehub.node.console import CallError, Console
 
 
@@ -41,6 +42,32 @@
     served.close()
 
 
+@pytest.mark.parametrize(
+    ("sent", "answer"),
+    [
+        (b"HEALTH now\n", "-ERR HEALTH takes no argument\n"),
+        (b"dump c0 c1\n", "-ERR DUMP takes no argument\n"),
+        (b"OFFLINE\n", "-ERR OFFLINE needs the id of a cache server\n"),
+        (b"ONLINE  \n", "-ERR ONLINE needs the id of a cache server\n"),
+    ],
+)
+async def test_a_call_with_too_much_or_too_little_is_a_no(sent: bytes, answer: str) -> None:
+    handlers = dict.fromkeys(("health", "dump", "offline", "online"), lambda _: "+OK")
+    served, port = await opened(**handlers)
+    assert await call(port, sent) == answer
+    served.close()
+
+
+def test_an_inherited_descriptor_that_listens_nowhere_is_told_apart(tmp_path: os.PathLike[str]) -> None:
+    with socket.socket() as idle, socket.create_server(("127.0.0.1", 0)) as listener:
+        with pytest.raises(OSError, match=f"descriptor {idle.fileno()} is a socket that listens nowhere"):
+            inherited_listener(idle.fileno())
+        assert idle.getsockname()  # it is left open
+        with open(os.path.join(tmp_path, "file"), "wb") as file, pytest.raises(OSError, match="is no socket"):
+            inherited_listener(file.fileno())
+        assert inherited_listener(listener.fileno()).detach() == listener.fileno()
+
+
 async def test_a_call_may_come_in_pieces() -> None:
     served, port = await opened(health=lambda _: "+OK")
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
