Add the lab: an emulator of the served system, baselines, rules as checks, experiments

Change: applehub/lab plays clients, cache servers, origin, discovery, network and any number of routers (the product's own Balancer) in simulated time; experiments are TOML files checked by pydantic; results are resumable and byte-equal for the same file and seed; the design stands in docs/design/lab.md. run and sim import none of it.

--- /dev/null
+++ b/applehub/lab/__main__.py
@@ -0,0 +1,324 @@
+"""The lab's commands: python -m applehub.lab."""
+
+import os
+import sys
+import time
+import tomllib
+from collections.abc import Callable
+from functools import wraps
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TimeElapsedColumn
+from rich.table import Table
+
+from applehub.lab import berger
+from applehub.lab.clock import MILLI
+from applehub.lab.compare import broken_rules, grouped, mean_of, paired, point_name, standing
+from applehub.lab.routers import demand_of
+from applehub.lab.runner import Plan, ResultsError, make_plan, read_results, run_plan
+from applehub.lab.spec import SpecError
+from applehub.lab.world import World
+from applehub.settings import Json
+
+LEAST_SHOWN = 0.001  # of the worth: causes that cost every policy less are summed
+MEASURES = ("G", "whole", "worst_window")
+SHIPPED = resources.files("applehub.lab") / "experiments"
+
+
+def guarded(command: Callable[..., None]) -> Callable[..., None]:
+    """What users get wrong ends with a line and code 2; what they cut off, with 130."""
+
+    @wraps(command)
+    def run(*args: Any, **kwargs: Any) -> None:
+        try:
+            command(*args, **kwargs)
+        except (SpecError, ResultsError) as problem:
+            click.echo(str(problem), err=True)
+            sys.exit(2)
+        except KeyboardInterrupt:
+            click.echo("cut off; the same command goes on from here", err=True)
+            sys.exit(130)
+        except OSError as problem:
+            click.echo(f"{problem.filename or 'output'}: {problem.strerror or problem}", err=True)
+            sys.exit(2)
+
+    return run
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Plays routers, caches, origin and clients in simulated time."""
+
+
+def load_plan(file: str, seeds: int | None) -> Plan:
+    """An experiment's file, or the name of one that is shipped."""
+    path = Path(file)
+    if not path.exists() and (SHIPPED / f"{file}.toml").is_file():
+        path = Path(str(SHIPPED / f"{file}.toml"))
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise SpecError(f"{file}: {problem.strerror or problem}; `lab list` names those shipped") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise SpecError(f"{file}: not TOML: {problem}") from None
+    if seeds is not None:
+        raw["seeds"] = {**(raw.get("seeds") or {}), "count": seeds}
+    return make_plan(str(path), raw)
+
+
+@main.command("list")
+@guarded
+def list_shipped() -> None:
+    """Names the experiments that are shipped."""
+    for file in sorted(SHIPPED.iterdir(), key=lambda one: one.name):
+        if file.name.endswith(".toml"):
+            raw = tomllib.loads(file.read_text(encoding="utf-8"))
+            click.echo(f"{file.name.removesuffix('.toml'):20} {raw.get('about', '')}")
+
+
+@main.command()
+@click.argument("file")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="Results file [NAME.jsonl].")
+@click.option("--jobs", type=click.IntRange(1), default=None, help="Processes at once [all cores].")
+@click.option("--seeds", type=click.IntRange(1), default=None, help="How many seeds, in place of the file's.")
+@guarded
+def run(file: str, out: Path | None, jobs: int | None, seeds: int | None) -> None:
+    """Plays an experiment FILE (or a shipped one by name); goes on where a run was cut off."""
+    plan = load_plan(file, seeds)
+    path = out or Path(f"{plan.experiment.name}.jsonl")
+    console, total = Console(stderr=True), len(plan.tasks)
+    columns = (
+        "[progress.description]{task.description}",
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeElapsedColumn(),
+    )
+    with Progress(*columns, console=console, disable=not console.is_terminal) as progress:
+        bar = progress.add_task(plan.experiment.name, total=total)
+
+        def told(place: int, record: Json) -> None:
+            progress.update(bar, completed=place)
+            if not console.is_terminal:
+                figure = record["result"]["G"]
+                where = f"{point_name(record['point'])}, {record['policy']}, seed {record['seed']}"
+                click.echo(f"{place}/{total} {where}: G {figure}", err=True)
+
+        played = run_plan(plan, path, jobs or os.cpu_count() or 1, told)
+    click.echo(f"{played} played, {total - played} were there: {path}", err=True)
+    _show(read_results(path)[1])
+
+
+@main.command()
+@click.argument("results", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@click.option("--losses", is_flag=True, help="Where worth was lost, by cause.")
+@guarded
+def show(results: Path, as_json: bool, losses: bool) -> None:
+    """Prints a table of RESULTS: means over seeds with 95% confidence intervals."""
+    _, records = read_results(results)
+    if as_json:
+        click.echo(orjson.dumps(_summary(records), option=orjson.OPT_INDENT_2).decode())
+    elif losses:
+        _show_losses(records)
+    else:
+        _show(records)
+
+
+def _summary(records: list[Json]) -> list[Json]:
+    groups, rows = grouped(records), []
+    for (point, policy), group in groups.items():
+        causes = sorted({cause for one in group for cause in one["result"]["losses"]})
+        means = {name: mean_of(one["result"][name] for one in group) for name in MEASURES}
+        rows.append(
+            {
+                "point": point,
+                "policy": policy,
+                "seeds": len(group),
+                **{name: {"mean": mean.value, "half": mean.half} for name, mean in means.items()},
+                "worst_class": mean_of(
+                    min((one for one in record["result"]["classes"].values() if one is not None), default=1.0)
+                    for record in group
+                ).value,
+                "between": standing(groups, point, policy),
+                "losses": {
+                    cause: mean_of(one["result"]["losses"].get(cause, 0.0) for one in group).value
+                    for cause in causes
+                },
+                "broken": broken_rules(group),
+            }
+        )
+    return rows
+
+
+def _number(value: float | None, digits: int = 3) -> str:
+    return "-" if value is None else f"{value:.{digits}f}"
+
+
+def _show(records: list[Json]) -> None:
+    table = Table("point", "policy", "seeds", *MEASURES, "worst class", "floor to top", "rules broken")
+    for row in _summary(records):
+        figures = [
+            _number(row[name]["mean"])
+            + (f" ±{row[name]['half']:.3f}" if row[name]["half"] is not None else "")
+            for name in MEASURES
+        ]
+        broken = ", ".join(f"{rule} {count}" for rule, count in row["broken"].items()) or "none"
+        table.add_row(
+            row["point"], row["policy"], str(row["seeds"]), *figures, _number(row["worst_class"]),
+            _number(row["between"], 2), broken,
+        )  # fmt: skip
+    _print(table)
+
+
+def _show_losses(records: list[Json]) -> None:
+    """A table for each point: policies side by side, causes by what they cost the first of them."""
+    rows = _summary(records)
+    for point in dict.fromkeys(row["point"] for row in rows):
+        here = [row for row in rows if row["point"] == point]
+        causes = {
+            cause: max(row["losses"].get(cause, 0.0) for row in here)
+            for row in here
+            for cause in row["losses"]
+        }
+        large = [cause for cause in causes if causes[cause] >= LEAST_SHOWN]
+        large.sort(key=lambda cause: -here[0]["losses"].get(cause, 0.0))
+        table = Table("cause", *(row["policy"] for row in here), title=None if point == "-" else point)
+        for cause in large:
+            table.add_row(cause, *(f"{row['losses'].get(cause, 0.0):.4f}" for row in here))
+        rest = [sum(part for cause, part in row["losses"].items() if cause not in large) for row in here]
+        table.add_row("others", *(f"{part:.4f}" for part in rest))
+        _print(table)
+
+
+def _print(table: Table) -> None:
+    Console(width=None if sys.stdout.isatty() else 140).print(table)
+
+
+@main.command()
+@click.argument("before", type=click.Path(path_type=Path))
+@click.argument("after", type=click.Path(path_type=Path))
+@click.option(
+    "--measure", "measures", multiple=True, help="A figure by its dotted path [G, whole, worst_window]."
+)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@guarded
+def compare(before: Path, after: Path, measures: tuple[str, ...], as_json: bool) -> None:
+    """Pairs the plays of two results files by seed; prints differences with 95% confidence intervals."""
+    first, second = (grouped(read_results(path)[1]) for path in (before, after))
+    rows: list[Json] = []
+    for key in first:
+        for name in measures or MEASURES:
+            figures = paired(first[key], second[key], name) if key in second else None
+            if figures is not None:
+                one, other, difference = figures
+                rows.append(
+                    {
+                        "point": key[0], "policy": key[1], "measure": name, "pairs": difference.count,
+                        "before": one.value, "after": other.value,
+                        "difference": difference.value, "half": difference.half,
+                    }
+                )  # fmt: skip
+    if not rows:
+        raise ResultsError(f"{before} and {after}: expected plays of the same point, policy and seed in both")
+    if as_json:
+        click.echo(orjson.dumps(rows, option=orjson.OPT_INDENT_2).decode())
+        return
+    table = Table("point", "policy", "measure", "pairs", "before", "after", "difference", "told apart")
+    for row in rows:
+        sure = row["half"] is not None and abs(row["difference"]) > row["half"]
+        half = "" if row["half"] is None else f" ±{row['half']:.4f}"
+        table.add_row(
+            row["point"], row["policy"], row["measure"], str(row["pairs"]), f"{row['before']:.4f}",
+            f"{row['after']:.4f}", f"{row['difference']:+.4f}{half}", "yes" if sure else "no",
+        )  # fmt: skip
+    _print(table)
+
+
+@main.command()
+@click.argument("results", type=click.Path(path_type=Path))
+@click.argument("request")
+@click.option("--policy", default=None, help="Of which policy [the first].")
+@click.option("--seed", type=int, default=None, help="Of which seed [the first].")
+@click.option("--point", type=click.IntRange(0), default=0, help="Of which point of the sweep, by number.")
+@guarded
+def trace(results: Path, request: str, policy: str | None, seed: int | None, point: int) -> None:
+    """Plays one seed of RESULTS again and prints every event of a REQUEST: all of its tries, by one's id."""
+    header, _ = read_results(results)
+    plan = make_plan(str(results), header["raw"])
+    try:
+        number = demand_of(request)
+    except ValueError:
+        raise ResultsError(f"{request}: expected the id of a request, 16 hex digits") from None
+    if point >= len(plan.points):
+        raise ResultsError(f"--point {point}: expected a number under {len(plan.points)}")
+    world = World(
+        plan.points[point][1],
+        policy or plan.experiment.policies[0],
+        plan.experiment.seeds.first if seed is None else seed,
+    )
+    world.followed = number
+    world.play()
+    if not world.tries:
+        raise ResultsError(f"{request}: no such request in this play, which holds {world.account.requests}")
+    demand = world.tries[0].demand
+    kind = world.day.workload.classes[demand.cls].name
+    click.echo(f"{kind} for {demand.key}, {demand.work / MILLI:.1f} ms of work, from zone {demand.zone}")
+    for asked in world.tries:
+        click.echo(f"try {asked.id}, due {asked.deadline / MILLI:.3f} ms")
+        for at, text in asked.events:
+            click.echo(f"  {at / MILLI:12.3f} ms  {text}")
+
+
+@main.command("throttle")
+@click.option(
+    "--jobs", "count", type=click.IntRange(1000), default=200_000, help="Jobs offered for each row."
+)
+@click.option("--seed", type=int, default=1)
+@guarded
+def throttle(count: int, seed: int) -> None:
+    """Plays the throttle alone under Poisson arrivals, beside the paper's chain."""
+    table = Table(
+        "C_J + C_T", "C_J", "load", "throughput / r", "of the chain", "blocked", "of the chain", "agrees"
+    )
+    for row in berger.table(count, seed):
+        table.add_row(
+            str(row.total), str(row.buffer), f"{row.load:.2f}", str(row.throughput),
+            f"{row.chain_throughput:.4f}", str(row.blocked), f"{row.chain_blocked:.4f}",
+            "yes" if row.agrees else "no",
+        )  # fmt: skip
+    _print(table)
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(1, 600), default=10.0, help="Simulated, for each size.")
+@click.option("--sizes", default="5x15,20x60,50x100,200x200", help="Routers x servers.")
+@guarded
+def speed(seconds: float, sizes: str) -> None:
+    """Measures how many requests a second of this machine's time are played, by fleet size, on one core."""
+    table = Table(
+        "routers x servers", "requests", "processor s", "requests/s", "µs an event", "simulated/real"
+    )
+    for size in sizes.split(","):
+        try:
+            routers, servers = map(int, size.split("x"))
+        except ValueError:
+            raise SpecError(f"--sizes: expected sizes as in 5x15,20x60, got {size!r}") from None
+        raw = {"name": "speed", "seconds": seconds, "topology": {"routers": routers, "servers": servers}}
+        world = World(make_plan("--sizes", raw).points[0][1], "router", 1)
+        began = time.process_time()
+        result = world.play()
+        took = time.process_time() - began
+        table.add_row(
+            size, str(result["requests"]), f"{took:.2f}", f"{result['requests'] / took:,.0f}",
+            f"{took / result['events'] * 1e6:.1f}", f"{seconds / took:.1f}",
+        )  # fmt: skip
+    _print(table)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/applehub/lab/account.py
@@ -0,0 +1,157 @@
+"""What a play was worth: the share of worth served, prices, and what became of the rest, by cause."""
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from applehub import interface as api
+from applehub.lab.clock import MILLI, SECOND
+from applehub.lab.origin import OriginServer
+from applehub.lab.routers import Asked, Demand, Place, try_id
+from applehub.settings import Json
+
+if TYPE_CHECKING:
+    from applehub.lab.world import World
+
+DIGITS = 5
+
+
+def _rounded(value: float) -> float:
+    return round(value, DIGITS)
+
+
+class Account:
+    """One play's book. Worth is counted by work: a class's worth, times work over its class's mean."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        classes = world.day.workload.classes
+        self.by_class = [[0.0, 0.0] for _ in classes]  # asked, served
+        self.by_second: list[list[float]] = []
+        self.causes: dict[str, float] = {}  # worth lost
+        self.examples: dict[str, str] = {}  # the first request lost by each cause
+        self.statuses: Counter[str] = Counter()  # of attempts
+        self.requests = self.tries = self.attempts = 0
+        self.handshakes = self.crossings = self.refused_connects = 0
+        self.late_lost = 0.0
+        self.work = self.wasted = 0
+        self.times: list[int] = []  # ns to the answer, of those served
+
+    def asked_for(self, demand: Demand) -> None:
+        self.requests += 1
+        self.work += demand.work
+        self.by_class[demand.cls][0] += demand.worth
+        second = demand.born // SECOND
+        while len(self.by_second) <= second:
+            self.by_second.append([0.0, 0.0])
+        self.by_second[second][0] += demand.worth
+
+    def served(self, demand: Demand) -> None:
+        demand.over = True
+        took = self.world.clock.now - demand.born
+        self.times.append(took)
+        if took > self.world.settings.classes[demand.cls].aim:
+            self._note(demand, "late")
+            return
+        self.by_class[demand.cls][1] += demand.worth
+        self.by_second[demand.born // SECOND][1] += demand.worth
+
+    def lost(self, demand: Demand, why: str) -> None:
+        demand.over = True
+        self._note(demand, why)
+        if self.world.clock.now - demand.born > self.world.settings.classes[demand.cls].aim:
+            self.late_lost += demand.worth
+
+    def _note(self, demand: Demand, why: str) -> None:
+        self.causes[why] = self.causes.get(why, 0.0) + demand.worth
+        self.examples.setdefault(why, try_id(demand))
+
+    def place_of(self, server: Place) -> str:
+        if isinstance(server, OriginServer):
+            return "at origin"
+        return "at cold server" if server.warmth() < 1 else "at server"
+
+    def ended(self, status: api.Status, server: Place) -> str:
+        """Counts an attempt's end; gives a name for it."""
+        name = f"{status} {self.place_of(server)}"
+        self.statuses[name] += 1
+        return name
+
+    def where(self, asked: Asked) -> str:
+        """Where a request is that its client no longer waits for."""
+        if asked.final >= 0:
+            return "on the way back"
+        if asked.out:
+            return self.place_of(next(iter(asked.out.values())).server)
+        return "in router"
+
+    def result(self) -> Json:
+        """The figures of the whole play."""
+        goal, seconds = self.world.day.goal, self.by_second
+        asked = sum(pair[0] for pair in self.by_class)
+        whole = sum(pair[1] for pair in self.by_class) / asked if asked else 1.0
+        shares = [pair[1] / pair[0] for pair in self.by_class if pair[0]]
+        worst_window, worst_from = 1.0, 0
+        width = max(1, round(goal.window_s))
+        for first in range(max(1, len(seconds) - width + 1)):
+            part = seconds[first : first + width]
+            total = sum(pair[0] for pair in part)
+            if total and sum(pair[1] for pair in part) / total < worst_window:
+                worst_window, worst_from = sum(pair[1] for pair in part) / total, first
+        per_try = 1 / max(1, self.requests)
+        prices = {
+            "cross_zone": goal.cross_zone * self.crossings * per_try,
+            "handshake": goal.handshake * self.handshakes * per_try,
+            "late_fail": goal.late_fail * self.late_lost / max(1e-9, asked),
+            "waste": goal.waste * self.wasted / max(1, self.work),
+        }
+        served = (
+            goal.whole * whole
+            + goal.worst_window * worst_window
+            + goal.worst_class * min(shares, default=1.0)
+        )
+        times = sorted(self.times)
+        cpu = sorted(router.cpu for router in self.world.routers)
+        return {
+            "G": _rounded(served - sum(prices.values())),
+            "whole": _rounded(whole),
+            "worst_window": _rounded(worst_window),
+            "worst_window_from_s": worst_from,
+            "classes": {
+                spec.name: _rounded(pair[1] / pair[0]) if pair[0] else None
+                for spec, pair in zip(self.world.day.workload.classes, self.by_class, strict=True)
+            },
+            "prices": {name: _rounded(value) for name, value in prices.items()},
+            "losses": {name: _rounded(self.causes[name] / asked) for name in sorted(self.causes)},
+            "examples": dict(sorted(self.examples.items())),
+            "by_second": [_rounded(pair[1] / pair[0]) if pair[0] else 1.0 for pair in seconds],
+            "requests": self.requests,
+            "tries": self.tries,
+            "attempts": self.attempts,
+            "statuses": dict(sorted(self.statuses.items())),
+            "handshakes": self.handshakes,
+            "refused_connects": self.refused_connects,
+            "crossings": self.crossings,
+            "origin": {
+                "reads": self.world.origin.reads,
+                "writes": self.world.origin.writes,
+                "rejected": self.world.origin.rejected,
+            },
+            "discovery": {"calls": self.world.registry.calls, "failed": self.world.registry.failed},
+            "hit_share": _rounded(
+                sum(one.hits for one in self.world.all_servers)
+                / max(1, sum(one.hits + one.misses for one in self.world.all_servers))
+            ),
+            "ms": {
+                "p50": self._at(times, 0.5),
+                "p99": self._at(times, 0.99),
+                "p999": self._at(times, 0.999),
+            },
+            "router_cpu_s": {
+                "median": _rounded(cpu[len(cpu) // 2] / SECOND),
+                "most": _rounded(cpu[-1] / SECOND),
+            },
+        }
+
+    @staticmethod
+    def _at(times: list[int], part: float) -> float | None:
+        return round(times[min(len(times) - 1, int(len(times) * part))] / MILLI, 3) if times else None
--- /dev/null
+++ b/applehub/lab/berger.py
@@ -0,0 +1,85 @@
+"""The throttle alone against Berger's analysis: Poisson jobs, evenly spaced tokens.
+
+Source: A. W. Berger, "Performance Analysis of a Rate-Control Throttle where Tokens and Jobs Queue", section
+III. The state just before a token arrives is a Markov chain, Z' = max(min(Z + 1, C_T) - V, -C_J), V Poisson
+with the load as its mean. A token is blocked where Z = C_T, and
+throughput = r (1 - P(token blocked)) = load r (1 - P(job blocked)).
+"""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import numpy as np
+
+from applehub import interface as api
+from applehub.lab.compare import Mean, mean_of
+from applehub.lab.streams import generator
+from applehub.logic import SECOND, Job, Throttle
+
+PARTS = 20  # of a play, each with a mean of its own: their spread gives the confidence interval
+RATE = 100.0  # tokens a second
+LOADS = (0.5, 0.8, 1.0, 1.2, 2.0)
+CAPACITIES = ((10, 0), (10, 5), (10, 8), (20, 0), (20, 10))  # C_J + C_T, C_J
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table; throughput is by r, blocked by the jobs offered."""
+
+    total: int
+    buffer: int
+    load: float
+    throughput: Mean
+    blocked: Mean
+    chain_throughput: float
+    chain_blocked: float
+
+    @property
+    def agrees(self) -> bool:
+        """Whether the chain's blocking lies within the 95% interval of what was played."""
+        return abs(self.blocked.value - self.chain_blocked) <= (self.blocked.half or 0.0) + 1e-4
+
+
+def chain(total: int, load: float) -> tuple[float, float]:
+    """Throughput by r, and the part of the jobs that is blocked, in steady state."""
+    size = total + 1  # states 0..total, the paper's Z + C_J
+    arrivals = [math.exp(-load + k * math.log(load) - math.lgamma(k + 1)) for k in range(size)]
+    moves = np.zeros((size, size))
+    for state in range(size):
+        after = min(state + 1, total)
+        for left in range(1, after + 1):
+            moves[state, left] = arrivals[after - left]
+        moves[state, 0] = 1 - moves[state, 1:].sum()
+    system = np.vstack([moves.T - np.eye(size), np.ones(size)])
+    steady = np.linalg.lstsq(system, np.append(np.zeros(size), 1.0), rcond=None)[0]
+    throughput = 1 - float(steady[-1])
+    return throughput, 1 - throughput / load
+
+
+def played(total: int, buffer: int, load: float, count: int, seed: int) -> tuple[Mean, Mean]:
+    """The product's throttle under Poisson jobs: throughput by r, and the part blocked."""
+    throttle = Throttle(0, RATE, total)
+    throttle.bank, throttle.buffer = total - buffer, buffer
+    throttle.level = throttle.bank
+    gaps = generator(seed, f"throttle {total} {buffer} {load}").exponential(SECOND / (RATE * load), count)
+    times = np.cumsum(gaps).astype(np.int64).tolist()
+    spec = api.RequestClass(aim=SECOND, deadline=SECOND)
+    throughputs, blockings, blocked, begun, each = [], [], 0, 0, max(1, count // PARTS)
+    for number, now in enumerate(times, 1):
+        throttle.refill(now)
+        job = Job(api.Request(str(number), 0, now), spec, now)
+        blocked += throttle.offer(job) is False
+        if number % each == 0:
+            blockings.append(blocked / each)
+            throughputs.append((each - blocked) / ((now - begun) * RATE / SECOND))
+            blocked, begun = 0, now
+    return mean_of(throughputs), mean_of(blockings)
+
+
+def table(count: int, seed: int) -> Iterator[Row]:
+    """All rows, with so many jobs offered for each."""
+    for total, buffer in CAPACITIES:
+        for load in LOADS:
+            throughput, blocked = played(total, buffer, load, count, seed)
+            yield Row(total, buffer, load, throughput, blocked, *chain(total, load))
--- /dev/null
+++ b/applehub/lab/compare.py
@@ -0,0 +1,112 @@
+"""Figures over seeds: means with confidence intervals, and differences paired by seed."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from scipy import stats
+
+from applehub.settings import Json
+
+CONFIDENCE = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Mean:
+    """A mean over seeds, and half its 95% confidence interval (Student's t); none for one seed."""
+
+    value: float
+    half: float | None
+    count: int
+
+    def __str__(self) -> str:
+        return f"{self.value:.4f}" if self.half is None else f"{self.value:.4f} ± {self.half:.4f}"
+
+
+def mean_of(values: Iterable[float]) -> Mean:
+    numbers = list(values)
+    count = len(numbers)
+    mean = math.fsum(numbers) / count
+    if count < 2:
+        return Mean(mean, None, count)
+    spread = math.sqrt(math.fsum((one - mean) ** 2 for one in numbers) / (count - 1))
+    return Mean(mean, float(stats.t.ppf((1 + CONFIDENCE) / 2, count - 1)) * spread / math.sqrt(count), count)
+
+
+def measure(result: Json, path: str) -> float | None:
+    """A figure by its dotted path: `G`, `losses.late`, `classes.consulta`. A loss that is not listed is 0."""
+    at: Any = result
+    for step in path.split("."):
+        if not isinstance(at, dict):
+            return None
+        at = at.get(step, 0.0 if path.startswith(("losses.", "statuses.", "rules.counts.")) else None)
+    return float(at) if isinstance(at, int | float) else None
+
+
+def point_name(point: Json) -> str:
+    def text(value: Any) -> str:
+        return (
+            " ".join(f"{name}={one}" for name, one in value.items())
+            if isinstance(value, dict)
+            else str(value)
+        )
+
+    return (
+        ", ".join(text(one) if isinstance(one, dict) else f"{key}={one}" for key, one in point.items()) or "-"
+    )
+
+
+def key_of(record: Json) -> tuple[str, str]:
+    return point_name(record["point"]), record["policy"]
+
+
+def grouped(records: list[Json]) -> dict[tuple[str, str], list[Json]]:
+    """Records by point and policy, in the order in which they came."""
+    groups: dict[tuple[str, str], list[Json]] = {}
+    for record in records:
+        groups.setdefault(key_of(record), []).append(record)
+    return groups
+
+
+def broken_rules(records: list[Json]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for record in records:
+        for rule, count in record["result"]["rules"]["counts"].items():
+            counts[rule] = counts.get(rule, 0) + count
+    return counts
+
+
+def paired(before: list[Json], after: list[Json], path: str) -> tuple[Mean, Mean, Mean] | None:
+    """A measure before, after, and their difference over the seeds that both hold."""
+    seeds = {orjson.dumps(one["seed"]): measure(one["result"], path) for one in before}
+    pairs = []
+    for one in after:
+        first, second = seeds.get(orjson.dumps(one["seed"])), measure(one["result"], path)
+        if first is not None and second is not None:
+            pairs.append((first, second))
+    if not pairs:
+        return None
+    return (
+        mean_of(first for first, _ in pairs),
+        mean_of(second for _, second in pairs),
+        mean_of(second - first for first, second in pairs),
+    )
+
+
+def standing(groups: dict[tuple[str, str], list[Json]], point: str, policy: str) -> float | None:
+    """Where a policy's G lies between random choice (0) and the one that sees all (1)."""
+    means = {
+        name: mean_of(record["result"]["G"] for record in groups[point, name]).value
+        for name in (policy, "random", "oracle")
+        if (point, name) in groups
+    }
+    if (
+        len(means) < (3 if policy not in ("random", "oracle") else 2)
+        or "oracle" not in means
+        or "random" not in means
+    ):
+        return None
+    width = max(0.1, means["oracle"] - means["random"])
+    return 1 - (means["oracle"] - means[policy]) / width
--- /dev/null
+++ b/applehub/lab/runner.py
@@ -0,0 +1,154 @@
+"""Plays all points, policies and seeds of an experiment in parallel, and keeps each play's record.
+
+A results file holds a header line, then a line for each play, in the order of the plan: whole or absent. A
+run that was cut off goes on where the file ends. Nothing in it depends on the machine, its clock or the
+number of processes.
+"""
+
+import hashlib
+import itertools
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+import applehub
+from applehub.lab.spec import Day, Experiment, read_raw
+from applehub.lab.world import play
+from applehub.settings import Json
+
+DECIDING = ("logic.py", "interface.py", "settings.py")  # beside the lab, what figures depend on
+
+
+class ResultsError(ValueError):
+    """A results file is of no use, or not of this experiment."""
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One play."""
+
+    point: int
+    policy: str
+    seed: int
+
+
+@dataclass(slots=True)
+class Plan:
+    """What an experiment plays, in order."""
+
+    experiment: Experiment
+    raw: Json
+    points: list[tuple[Json, Day]]
+
+    @property
+    def tasks(self) -> list[Task]:
+        seeds = range(self.experiment.seeds.first, self.experiment.seeds.first + self.experiment.seeds.count)
+        wanted = itertools.product(range(len(self.points)), self.experiment.policies, seeds)
+        return [Task(*one) for one in wanted]
+
+    @property
+    def header(self) -> Json:
+        content = orjson.dumps(self.raw, option=orjson.OPT_SORT_KEYS)
+        return {
+            "experiment": hashlib.sha256(content).hexdigest()[:16],
+            "program": program_hash(),
+            "name": self.experiment.name,
+            "raw": self.raw,
+        }
+
+
+def program_hash() -> str:
+    """Of the sources that decide a play's figures: records of two programs are not mixed."""
+    root = Path(applehub.__file__).parent
+    files = sorted((root / "lab").glob("*.py")) + [root / name for name in DECIDING]
+    whole = hashlib.sha256()
+    for file in files:
+        whole.update(file.name.encode() + b"\0" + file.read_bytes() + b"\0")
+    return whole.hexdigest()[:16]
+
+
+def make_plan(name: str, raw: Json) -> Plan:
+    """Raises SpecError where it makes no sense."""
+    experiment, points = read_raw(name, raw)
+    return Plan(experiment, raw, points)
+
+
+def record_of(task: Task, point: Json, result: Json) -> Json:
+    return {"point": point, "policy": task.policy, "seed": task.seed, "result": result}
+
+
+def _play(work: tuple[Task, Json, Day]) -> bytes:
+    task, point, day = work
+    return orjson.dumps(
+        record_of(task, point, play(day, task.policy, task.seed)), option=orjson.OPT_APPEND_NEWLINE
+    )
+
+
+def _whole_lines(path: Path) -> list[bytes]:
+    """The file's whole lines; what was cut off behind the last is removed."""
+    if not path.exists():
+        return []
+    content = path.read_bytes()
+    end = content.rfind(b"\n") + 1
+    if end < len(content):
+        os.truncate(path, end)
+    return content[:end].splitlines()
+
+
+def done_before(path: Path, plan: Plan) -> int:
+    """How many plays the file already holds; raises ResultsError where it is another experiment's."""
+    lines = _whole_lines(path)
+    if not lines:
+        return 0
+    if lines[0] != orjson.dumps(plan.header):
+        raise ResultsError(
+            f"{path}: holds results of another experiment or program; name another file with --out"
+        )
+    for line, task in zip(lines[1:], plan.tasks, strict=False):
+        record = orjson.loads(line)
+        if (record["policy"], record["seed"], record["point"]) != (
+            task.policy, task.seed, plan.points[task.point][0],
+        ):  # fmt: skip
+            raise ResultsError(f"{path}: its records are not in the order of the plan")
+    return len(lines) - 1
+
+
+def run_plan(plan: Plan, path: Path, processes: int, told: Callable[[int, Json], None]) -> int:
+    """Plays what is missing, appends each record and tells of it; gives how many were played."""
+    before = done_before(path, plan)
+    work = [(task, *plan.points[task.point]) for task in plan.tasks[before:]]
+    with open(path, "ab", buffering=0) as file:
+        if not file.tell():
+            file.write(orjson.dumps(plan.header, option=orjson.OPT_APPEND_NEWLINE))
+        for place, line in enumerate(_played(work, processes), before + 1):
+            file.write(line)
+            told(place, orjson.loads(line))
+    return len(work)
+
+
+def _played(work: list[tuple[Task, Json, Day]], processes: int) -> Iterator[bytes]:
+    if processes <= 1 or len(work) <= 1:
+        yield from map(_play, work)
+        return
+    with ProcessPoolExecutor(min(processes, len(work))) as pool:
+        yield from pool.map(_play, work)
+
+
+def read_results(path: Path) -> tuple[Json, list[Json]]:
+    """The header and the records; raises ResultsError where it is no results file."""
+    try:
+        lines = path.read_bytes().split(b"\n")[:-1]
+        header, *records = map(orjson.loads, lines)
+    except OSError as problem:
+        raise ResultsError(f"{path}: {problem.strerror or problem}") from None
+    except (ValueError, TypeError) as problem:
+        raise ResultsError(f"{path}: expected a results file of `lab run`: {problem}") from None
+    keys: set[Any] = {"point", "policy", "seed", "result"}
+    if "experiment" not in header or not all(keys <= set(record) for record in records):
+        raise ResultsError(f"{path}: expected a results file of `lab run`, a header and records")
+    return header, records
