--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -16,7 +16,7 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TimeElapsedColumn
 from rich.table import Table
 
-from applehub.lab import berger
+from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
 from applehub.lab.compare import broken_rules, grouped, mean_of, paired, point_name, standing
 from applehub.lab.routers import demand_of
@@ -320,5 +320,21 @@
     _print(table)
 
 
+@main.command("cost")
+@click.option("--requests", type=click.IntRange(100, 1_000_000), default=20_000, help="Played for each size.")
+@click.option("--sizes", default="15,60,200,1000", help="Numbers of servers.")
+@guarded
+def module_cost(requests: int, sizes: str) -> None:
+    """Measures the module's processor time for a request with its outcome, by fleet size."""
+    try:
+        numbers = [int(size) for size in sizes.split(",")]
+    except ValueError:
+        raise SpecError(f"--sizes: expected numbers as in 15,60, got {sizes!r}") from None
+    result = Table("servers", "requests", "µs a request")
+    for row in cost.table(requests, numbers):
+        result.add_row(str(row.servers), str(row.requests), f"{row.microseconds:.1f}")
+    _print(result)
+
+
 if __name__ == "__main__":
     main()
--- a/applehub/lab/clients.py
+++ b/applehub/lab/clients.py
@@ -40,8 +40,10 @@
 
     def _deal(self, zone: int) -> RouterHost | None:
         """A router of the client's zone; where there is none, any."""
-        near = [one for one in self.world.routers_in[zone] if one.index not in self.noticed_down]
-        near = near or [one for one in self.world.routers if one.index not in self.noticed_down]
+        near = self.world.routers_in[zone]
+        if self.noticed_down or not near:
+            near = [one for one in near if one.index not in self.noticed_down]
+            near = near or [one for one in self.world.routers if one.index not in self.noticed_down]
         return near[self.dealt.below(len(near))] if near else None
 
     def _try(self, demand: Demand) -> None:
--- /dev/null
+++ b/applehub/lab/cost.py
@@ -0,0 +1,53 @@
+"""What a decision costs: processor time of the module for a request and its outcome, by fleet size."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from applehub import interface as api
+from applehub.lab.clock import MILLI, SECOND
+from applehub.lab.spec import Day, settings_of
+from applehub.lab.streams import Draws
+from applehub.logic import Balancer
+from applehub.settings import read_settings
+
+OUT = 8  # requests that are under way at a time
+KEYS = 4000
+ANSWER = 40 * MILLI
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """One row: µs of processor time for a request with its outcome."""
+
+    servers: int
+    requests: int
+    microseconds: float
+
+
+def measure(servers: int, count: int) -> Cost:
+    """Plays so many reads that hit, on a warm fleet of equal servers, and times the module alone."""
+    settings, draws = read_settings(settings_of(Day())), Draws(1, "cost")
+    balancer, now = Balancer(settings, 1), 0
+    members = [api.Member(f"s-{number:08x}", kind=number % 2) for number in range(servers)]
+    balancer.handle(now, api.Members(api.ListKind.FULL, members))
+    out: list[tuple[str, str]] = []
+    began = time.process_time_ns()
+    for number in range(count):
+        now += ANSWER // OUT
+        name = f"{number:016x}"
+        request = api.Request(name, 0, now + SECOND, f"{draws.below(KEYS):016x}")
+        for action in balancer.handle(now, request):
+            if isinstance(action, api.Send):
+                out.append((name, action.server))
+        if len(out) > OUT:
+            name, server = out.pop(0)
+            balancer.handle(now, api.Outcome(name, 0, server, api.Status.OK, True, ANSWER, 1))
+    return Cost(servers, count, (time.process_time_ns() - began) / count / 1000)
+
+
+def table(count: int, sizes: list[int]) -> Iterator[Cost]:
+    """A row for each number of servers, after a round that warms the process up."""
+    measure(sizes[0], count // 10 + 1)
+    for servers in sizes:
+        yield measure(servers, count)
--- a/applehub/lab/discovery.py
+++ b/applehub/lab/discovery.py
@@ -1,7 +1,7 @@
 """The service that lists servers: late, of bounded capacity, and the same for all routers."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from applehub import interface as api
 from applehub.lab.clock import MILLI, SECOND, Clock
@@ -54,7 +54,7 @@
                 self.clock.after(delay, self._push, number)
 
     def whole(self) -> list[api.Member]:
-        return [replace(entry) for entry in self.entries.values()]
+        return list(self.entries.values())
 
     def forget(self, number: int) -> None:
         """The router's process has ended."""
@@ -100,6 +100,6 @@
             self._tell(subscriber)
 
     def _tell(self, subscriber: Subscriber) -> None:
-        entries = [replace(entry) for entry in self.changes[subscriber.version :]]
+        entries = self.changes[subscriber.version :]
         subscriber.version = len(self.changes)
         subscriber.tell(api.Members(api.ListKind.DELTA, entries), subscriber.version)
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -1,6 +1,7 @@
 """One play: a day, a policy and a seed, wired together and played to its end."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from zlib import crc32
 
 from applehub import interface as api
@@ -115,12 +116,11 @@
                 for key in reversed(self.workload.popular[:most]):
                     server.store(key)
             return
-        chooser = self.make(self.settings, 0)
-        entries = [self.entry(server) for server in self.servers] + [self._origin_entry()]
-        chooser.handle(0, api.Members(api.ListKind.CACHED, entries))
+        names = sorted(server.id for server in self.servers)
+        home = self._range_of if self.policy == "router" else self._home_by()
         full = 0
         for number, key in enumerate(self.workload.popular):
-            server = self.server(self._home(chooser, number, key))
+            server = self.server(home(names, number, key))
             if len(server.memory) < most:
                 server.memory[key] = None
                 full += len(server.memory) == most
@@ -129,17 +129,25 @@
         for server in self.servers:
             server.memory = dict.fromkeys(reversed(server.memory))
 
-    def _home(self, chooser: Decider, number: int, key: str) -> str:
-        """Where a policy looks for a key, while nothing is out."""
-        names = sorted(server.id for server in self.servers)
-        if self.policy == "router":
-            return names[crc32(key.encode()) * len(names) >> 32]
-        name = f"fill {number}"
-        actions = chooser.handle(0, api.Request(name, 0, SECOND, key))
-        sends = [action for action in actions if isinstance(action, api.Send)]
-        server = sends[0].server if sends else names[number % len(names)]
-        chooser.handle(0, api.Outcome(name, 0, server, api.Status.OK, True, MILLI))
-        return server
+    @staticmethod
+    def _range_of(names: list[str], number: int, key: str) -> str:
+        return names[crc32(key.encode()) * len(names) >> 32]
+
+    def _home_by(self) -> Callable[[list[str], int, str], str]:
+        """Asks the policy itself where it looks for a key, while nothing is out."""
+        chooser = self.make(self.settings, 0)
+        entries = [self.entry(server) for server in self.servers] + [self._origin_entry()]
+        chooser.handle(0, api.Members(api.ListKind.CACHED, entries))
+
+        def home(names: list[str], number: int, key: str) -> str:
+            name = f"fill {number}"
+            actions = chooser.handle(0, api.Request(name, 0, SECOND, key))
+            sends = [action for action in actions if isinstance(action, api.Send)]
+            server = sends[0].server if sends else names[number % len(names)]
+            chooser.handle(0, api.Outcome(name, 0, server, api.Status.OK, True, MILLI))
+            return server
+
+        return home
 
     def server(self, name: str) -> CacheServer:
         place = self.places[name]
@@ -171,7 +179,7 @@
 
     def start_router(self, router: RouterHost) -> None:
         """A process with a seed of its own."""
-        rules = api.Settings(**{name: getattr(self.settings, name) for name in api.Settings.__slots__})
+        rules = replace(self.settings)
 
         def make(life: int) -> Decider:
             seed = int(generator(self.seed, f"router {router.index} life {life}").integers(1 << 62))
