Add lab load and lab demo: a router on real sockets before stand-ins, open loop

Cause: the lab knew emulated time alone, and a newcomer had nothing to start but a router with no caches.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -4,11 +4,8 @@
 import sys
 import time
 import tomllib
-from collections.abc import Callable
-from functools import wraps
 from importlib import resources
 from pathlib import Path
-from typing import Any
 
 import click
 import orjson
@@ -16,9 +13,13 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TimeElapsedColumn
 from rich.table import Table
 
+from applehub import wirehost
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
 from applehub.lab.compare import broken_rules, grouped, mean_of, paired, point_name, standing
+from applehub.lab.live.commands import demo, load
+from applehub.lab.policies import BLIND
+from applehub.lab.problems import guarded
 from applehub.lab.routers import demand_of
 from applehub.lab.runner import Plan, ResultsError, make_plan, read_results, run_plan
 from applehub.lab.spec import SpecError
@@ -30,26 +31,6 @@
 SHIPPED = resources.files("applehub.lab") / "experiments"
 
 
-def guarded(command: Callable[..., None]) -> Callable[..., None]:
-    """What users get wrong ends with a line and code 2; what they cut off, with 130."""
-
-    @wraps(command)
-    def run(*args: Any, **kwargs: Any) -> None:
-        try:
-            command(*args, **kwargs)
-        except (SpecError, ResultsError) as problem:
-            click.echo(str(problem), err=True)
-            sys.exit(2)
-        except KeyboardInterrupt:
-            click.echo("cut off; the same command goes on from here", err=True)
-            sys.exit(130)
-        except OSError as problem:
-            click.echo(f"{problem.filename or 'output'}: {problem.strerror or problem}", err=True)
-            sys.exit(2)
-
-    return run
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main() -> None:
     """Plays routers, caches, origin and clients in simulated time."""
@@ -336,5 +317,15 @@
     _print(result)
 
 
+@main.command()
+@click.argument("policy", type=click.Choice(sorted(BLIND)))
+def wire(policy: str) -> None:
+    """Hosts a baseline POLICY on the simulator's wire, as `sim` hosts the product's module."""
+    sys.exit(wirehost.main(wirehost.Host(BLIND[policy])))
+
+
+main.add_command(load)
+main.add_command(demo)
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/applehub/lab/live/bench.py
@@ -0,0 +1,275 @@
+"""Starts stand-ins and one router as `run` does, plays a load through it, and measures its process."""
+
+import asyncio
+import multiprocessing
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+import psutil
+
+from applehub.lab.live.client import Load, Player, Seen
+from applehub.lab.live.standins import Counts, host
+from applehub.settings import Json
+
+READY_WITHIN = 20.0  # s
+SECOND = 1_000_000_000
+MB = 1 << 20
+SAMPLE = 0.2  # s between looks at the router's process
+
+
+class LiveError(RuntimeError):
+    """A stand-in or the router did not start, or ended."""
+
+
+def settings(wait_ms: int) -> Json:
+    """What the router is told: two classes, the router fetches from the origin, lists come on request."""
+    deadline = wait_ms * 1_000_000
+    classes = [
+        {"name": "read", "aim": deadline // 2, "deadline": deadline, "effect": "safe"},
+        {
+            "name": "put",
+            "aim": deadline // 2,
+            "deadline": deadline,
+            "effect": "keyed",
+            "repeatWindow": 2 * SECOND,
+        },
+    ]
+    return {
+        "azs": ["here"],
+        "hostTypes": ["cache", "origin"],
+        "balancers": 1,
+        "ceilings": {"attemptsCap": 4, "dialTimeout": SECOND // 4, "keepalive": 10 * SECOND},
+        "classes": classes,
+        "registryMode": "on_request",
+        "safety": {"coldFrom": 0.12, "rampTime": 24 * SECOND, "tipMultiple": 2.5, "fall": 2 * SECOND},
+        "specifics": {"mode": "aside", "originKind": 1},
+    }
+
+
+@dataclass(slots=True)
+class Use:
+    """What the router's process has used."""
+
+    cpu_s: float = 0.0
+    memory_mb: float = 0.0
+    most_memory_mb: float = 0.0
+    descriptors: int = 0
+    most_descriptors: int = 0
+
+
+class RouterProcess:
+    """A router under `run`'s own command line, in this interpreter's environment."""
+
+    def __init__(self, told: Json, folder: Path) -> None:
+        self.path = folder / "config.json"
+        self.path.write_bytes(orjson.dumps(told))
+        self.log = folder / "router.log"
+        scratch = folder / "tmp"
+        scratch.mkdir()
+        here = str(Path(__file__).parents[3])
+        environment = {
+            **os.environ,
+            "BALANCER_CONFIG": str(self.path),
+            "TMPDIR": str(scratch),
+            "PYTHONPATH": os.pathsep.join(filter(None, [here, os.environ.get("PYTHONPATH")])),
+        }
+        for name in ("BALANCER_CONSOLE", "BALANCER_INHERITED_FD"):
+            environment.pop(name, None)
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "applehub"], env=environment, stderr=log)
+        self.watched = psutil.Process(self.process.pid)
+        self.use = Use()
+
+    def sample(self) -> Use:
+        """Looks at the process; raises LiveError where it has ended."""
+        if self.process.poll() is not None:
+            said = self.log.read_text()[-500:]
+            raise LiveError(f"the router ended with code {self.process.returncode}: {said}")
+        times, use = self.watched.cpu_times(), self.use
+        use.cpu_s = times.user + times.system
+        use.memory_mb = self.watched.memory_info().rss / MB
+        use.descriptors = self.watched.num_fds()
+        use.most_memory_mb = max(use.most_memory_mb, use.memory_mb)
+        use.most_descriptors = max(use.most_descriptors, use.descriptors)
+        return use
+
+    def stop(self) -> int:
+        """SIGTERM, and SIGKILL for one that does not end; gives its code."""
+        if self.process.poll() is None:
+            self.process.terminate()
+            try:
+                self.process.wait(10)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+        return self.process.wait()
+
+
+def address(where: tuple[str, int]) -> str:
+    return f"{where[0]}:{where[1]}"
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as one:
+        port: int = one.getsockname()[1]
+        return port
+
+
+class Site:
+    """Stand-ins in a process of their own, and one router before them."""
+
+    def __init__(self, folder: Path, caches: int, value: int, wait_ms: int) -> None:
+        context = multiprocessing.get_context("spawn")
+        self.pipe, theirs = context.Pipe()
+        self.standins = context.Process(target=host, args=(theirs, caches, value), daemon=True)
+        self.standins.start()
+        if not self.pipe.poll(READY_WITHIN):
+            raise LiveError("the stand-ins did not start")
+        discovery, self.targets = self.pipe.recv()
+        self.listen, self.console = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+        told = {
+            "name": "demo",
+            "listen": address(self.listen),
+            "console": address(self.console),
+            "discovery": discovery,
+            "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 1, "all": True, "targets": self.targets},
+            "settings": settings(wait_ms),
+        }
+        self.router = RouterProcess(told, folder)
+
+    @property
+    def caches(self) -> list[tuple[str, int]]:
+        ends = [str(one["endpoint"]).rpartition(":") for one in self.targets if one["model"] == "cache"]
+        return [(where, int(port)) for where, _, port in ends]
+
+    def counts(self) -> Counts:
+        self.pipe.send("counts")
+        counts: Counts = self.pipe.recv()
+        return counts
+
+    def stop(self) -> int:
+        code = self.router.stop()
+        with suppress(OSError):  # they have ended already
+            self.pipe.send("end")
+        self.standins.join(5)
+        if self.standins.is_alive():
+            self.standins.kill()
+        return code
+
+
+@contextmanager
+def site(caches: int, value: int, wait_ms: int) -> Iterator[Site]:
+    """A site that is ended whatever happens."""
+    with tempfile.TemporaryDirectory(prefix="lab-") as folder:
+        one = Site(Path(folder), caches, value, wait_ms)
+        try:
+            yield one
+        finally:
+            one.stop()
+
+
+async def until_ready(one: Site) -> float:
+    """Waits until the router answers PING; gives how long that took, s."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while loop.time() - began < READY_WITHIN:
+        one.router.sample()
+        try:
+            if await say(one.listen, b"*1\r\n$4\r\nPING\r\n") == b"+PONG\r\n":
+                return loop.time() - began
+        except OSError:
+            pass  # it does not listen yet
+        await asyncio.sleep(0.01)
+    raise LiveError(f"the router was not ready within {READY_WITHIN:.0f} s")
+
+
+async def say(address: tuple[str, int], words: bytes) -> bytes:
+    """Sends a command on a connection of its own and reads what comes back at once."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(words)
+        return await asyncio.wait_for(reader.read(1 << 16), 5)
+    finally:
+        writer.close()
+
+
+async def figures(one: Site) -> dict[str, str]:
+    """What the console's DUMP tells."""
+    reader, writer = await asyncio.open_connection(*one.console)
+    writer.write(b"DUMP\n")
+    lines = (await asyncio.wait_for(reader.read(), 5)).decode().splitlines()
+    writer.close()
+    return dict(line.split("=", 1) for line in lines if "=" in line)
+
+
+@dataclass(slots=True)
+class Report:
+    """What a load showed, through the router and straight to the caches."""
+
+    through: Seen
+    direct: Seen
+    use: Use
+    cpu_before: float
+    counts: Counts
+
+    @property
+    def microseconds(self) -> float:
+        """Processor time of the router for a request."""
+        return (self.use.cpu_s - self.cpu_before) / max(1, self.through.asked) * 1e6
+
+    def as_json(self) -> Json:
+        def seen(one: Seen) -> dict[str, Any]:
+            return {
+                **{
+                    name: getattr(one, name)
+                    for name in ("asked", "served", "refused", "failed", "unanswered")
+                },
+                **{name: one.at(part) for name, part in (("p50_ms", 50), ("p99_ms", 99), ("p999_ms", 99.9))},
+            }
+
+        use = self.use
+        return {
+            "through": seen(self.through),
+            "direct": seen(self.direct),
+            "router": {
+                "us_a_request": round(self.microseconds, 1),
+                "memory_mb": round(use.memory_mb, 1),
+                "most_memory_mb": round(use.most_memory_mb, 1),
+                "descriptors": use.descriptors,
+                "most_descriptors": use.most_descriptors,
+            },
+            "caches": {"hits": self.counts.hits, "misses": self.counts.misses},
+            "origin": {"reads": self.counts.reads, "writes": self.counts.writes},
+        }
+
+
+async def _sampled(one: Site) -> None:
+    while True:
+        one.router.sample()
+        await asyncio.sleep(SAMPLE)
+
+
+async def play(one: Site, load: Load) -> Report:
+    """The load straight to the caches (reads alone, which they can answer), then through the router."""
+    await until_ready(one)
+    straight = replace(load, seconds=min(load.seconds, 3.0), write_part=0.0, seed=load.seed + 1)
+    direct = await Player(straight, one.caches).play()
+    before, counted = one.router.sample().cpu_s, one.counts()
+    sampler = asyncio.create_task(_sampled(one))
+    try:
+        through = await Player(load, [one.listen]).play()
+    finally:
+        sampler.cancel()
+    counts = one.counts()
+    seen = {name: getattr(counts, name) - getattr(counted, name) for name in Counts.__slots__}
+    return Report(through, direct, one.router.sample(), before, Counts(**seen))
--- /dev/null
+++ b/applehub/lab/live/commands.py
@@ -0,0 +1,108 @@
+"""The lab's commands on real sockets: load and demo."""
+
+import asyncio
+
+import click
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from applehub.lab.live.bench import Report, Site, figures, play, say, site, until_ready
+from applehub.lab.live.client import Load
+from applehub.lab.problems import guarded
+from applehub.node.resp import command
+
+MOST_REQUESTS = 2_000_000  # of one load
+COUNTS = ("asked", "served", "refused", "failed", "unanswered")
+TOUR = (
+    ("PING", command(b"PING")),
+    ("a read: no cache has it, so the origin is asked", command(b"C.GET", b"pedal", b"01", b"c=read,d=900")),
+    ("the same again: a cache has it", command(b"C.GET", b"pedal", b"02", b"c=read,d=900")),
+    ("a write goes to the origin", command(b"C.SET", b"pedal", b"03", b"c=put,d=900,k=1", b"new")),
+    ("a class that nobody told of", command(b"C.GET", b"pedal", b"04", b"c=none,d=900")),
+)
+
+
+@click.command()
+@click.option(
+    "--rate", type=click.FloatRange(1, 20_000), default=500.0, help="Requests a second, on average."
+)
+@click.option("--seconds", type=click.FloatRange(0.5, 3600), default=10.0)
+@click.option("--caches", type=click.IntRange(1, 64), default=4, help="Stand-ins for cache servers.")
+@click.option("--keys", type=click.IntRange(1), default=5000)
+@click.option("--writes", type=click.FloatRange(0, 1), default=0.04, help="Part of the requests.")
+@click.option("--value", type=click.IntRange(0, 65536), default=512, help="Bytes of a value.")
+@click.option("--wait-ms", type=click.IntRange(10, 60_000), default=1000, help="What a client waits.")
+@click.option("--connections", type=click.IntRange(1, 300), default=200, help="Of the clients, at the most.")
+@click.option("--seed", type=click.IntRange(0), default=1)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@guarded
+def load(
+    rate: float, seconds: float, caches: int, keys: int, writes: float, value: int, wait_ms: int,
+    connections: int, seed: int, as_json: bool,
+) -> None:  # fmt: skip
+    """Drives a router (`run`) over loopback before stand-ins, open loop, and measures it."""
+    if rate * seconds > MOST_REQUESTS:
+        raise click.UsageError(f"--rate times --seconds: expected at most {MOST_REQUESTS} requests")
+    wanted = Load(rate, seconds, keys, writes, value, wait_ms, connections, seed)
+    with site(caches, value, wait_ms) as one:
+        if not as_json:
+            click.echo(f"about {rate * seconds:.0f} requests in {seconds:.0f} s ...", err=True)
+        report = asyncio.run(play(one, wanted))
+    if as_json:
+        click.echo(orjson.dumps(report.as_json(), option=orjson.OPT_INDENT_2).decode())
+    else:
+        show(report)
+
+
+def show(report: Report) -> None:
+    """Prints what a load showed."""
+    told, console = report.as_json(), Console(width=110)
+    table = Table("", *COUNTS, "p50 ms", "p99 ms", "p99.9 ms")
+    for name, title in (("through", "through the router"), ("direct", "straight to caches")):
+        one = told[name]
+        times = [f"{one[at]:.2f}" for at in ("p50_ms", "p99_ms", "p999_ms")]
+        table.add_row(title, *(str(one[key]) for key in COUNTS), *times)
+    console.print(table)
+    added = [report.through.at(at) - report.direct.at(at) for at in (50, 99, 99.9)]
+    console.print(
+        f"added by the router: p50 {added[0]:.2f} ms, p99 {added[1]:.2f} ms, p99.9 {added[2]:.2f} ms"
+    )
+    use, caches, origin = told["router"], told["caches"], told["origin"]
+    console.print(f"router: {use['us_a_request']:.0f} µs of processor time a request")
+    console.print(f"router: {use['memory_mb']} MB, {use['most_memory_mb']} at most")
+    console.print(f"router: {use['descriptors']} descriptors, {use['most_descriptors']} at most")
+    console.print(f"caches: {caches['hits']} hits, {caches['misses']} misses")
+    console.print(f"origin: {origin['reads']} reads, {origin['writes']} writes")
+    late = report.through.late.get_value_at_percentile(99) / 1000
+    console.print(f"the client sent up to {late:.2f} ms late (p99); answers count from when they were due")
+
+
+@click.command()
+@click.option(
+    "--seconds", type=click.FloatRange(0.5, 60), default=3.0, help="Of load, 200 requests a second."
+)
+@guarded
+def demo(seconds: float) -> None:
+    """Starts stand-ins and one router, asks it a few things, then plays a short load through it."""
+    with site(3, 64, 1000) as one:
+        asyncio.run(_tour(one, seconds))
+        code = one.router.stop()
+    click.echo(f"the router was told to end (SIGTERM) and ended with code {code}")
+
+
+async def _tour(one: Site, seconds: float) -> None:
+    took, port = await until_ready(one), one.listen[1]
+    click.echo("3 cache servers, an origin and discovery stand in")
+    click.echo(f"a router listens on port {port}, ready after {took:.2f} s")
+    for what, words in TOUR:
+        answer = await say(one.listen, words)
+        click.echo(f"  {what}: {answer[:24]!r}{'...' if len(answer) > 24 else ''}")
+    seen = one.counts()
+    click.echo(
+        f"  behind it: {seen.misses} miss, {seen.hits} hit, {seen.reads} origin read, {seen.writes} write"
+    )
+    show(await play(one, Load(200, seconds, 500, 0.04, 64, 1000, 50, 1)))
+    told = await figures(one)
+    for name in ("responses.read.ok", "responses.put.ok", "tries", "pool_size", "pool_ejected"):
+        click.echo(f"its own figures (DUMP): {name} {told['edge_balancer.' + name]}")
--- a/applehub/lab/policies.py
+++ b/applehub/lab/policies.py
@@ -8,8 +8,8 @@
 from zlib import crc32
 
 from applehub import interface as api
-from applehub.lab.routers import Decider
 from applehub.logic import Balancer
+from applehub.wirehost import Decider
 
 if TYPE_CHECKING:
     from applehub.lab.world import World
@@ -180,13 +180,17 @@
         return best[1]
 
 
+BLIND: dict[str, type[Plain]] = {
+    "random": RandomChoice,
+    "two-choices": TwoChoices,
+    "bounded-hash": BoundedHash,
+}  # baselines that see no more than a router does
+
+
 def maker(name: str, world: "World") -> Callable[[api.Settings, int], Decider]:
     """What makes a router's decisions under a policy's name."""
-    baselines: dict[str, type[Plain]] = {
-        "random": RandomChoice, "two-choices": TwoChoices, "bounded-hash": BoundedHash,
-    }  # fmt: skip
     if name == "router":
         return lambda settings, seed: Balancer(settings, seed)
     if name == "oracle":
         return lambda settings, seed: Oracle(settings, seed, world)
-    return lambda settings, seed: baselines[name](settings, seed)
+    return lambda settings, seed: BLIND[name](settings, seed)
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -3,12 +3,13 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from applehub import interface as api
 from applehub.lab.clock import MILLI, SECOND
 from applehub.lab.origin import OriginServer
 from applehub.lab.servers import CacheServer
+from applehub.wirehost import Decider
 
 if TYPE_CHECKING:
     from applehub.lab.world import World
@@ -19,13 +20,6 @@
 Place = CacheServer | OriginServer
 
 
-class Decider(Protocol):
-    """What makes a router's decisions: the product's module, or a baseline."""
-
-    def handle(self, now: int, event: api.Event) -> list[api.Action]:
-        """Plays one event at its time."""
-
-
 @dataclass(slots=True, eq=False)
 class Demand:
     """What a client wants, over all of its tries."""
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -13,13 +13,14 @@
 from applehub.lab.network import Net
 from applehub.lab.origin import OriginServer
 from applehub.lab.policies import maker
-from applehub.lab.routers import Asked, Decider, Place, RouterHost
+from applehub.lab.routers import Asked, Place, RouterHost
 from applehub.lab.rules import Rules
 from applehub.lab.servers import LONG_AGO, CacheServer
 from applehub.lab.spec import Day, settings_of
 from applehub.lab.streams import Draws, generator
 from applehub.lab.workload import base_rate, draw_workload
 from applehub.settings import Json, read_settings
+from applehub.wirehost import Decider
 
 SWEEP = SECOND  # between looks for connections that idle too long
 LOGS_KEPT = 200
--- a/applehub/wirehost.py
+++ b/applehub/wirehost.py
@@ -3,7 +3,7 @@
 import sys
 import traceback
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 
@@ -31,6 +31,13 @@
 }
 
 
+class Decider(Protocol):
+    """What makes a router's decisions: the product's module, or a baseline of the lab."""
+
+    def handle(self, now: int, event: io.Event) -> list[io.Action]:
+        """Plays one event at its time."""
+
+
 class InputError(ValueError):
     """A line that cannot be read as a batch."""
 
@@ -107,10 +114,11 @@
 
 
 class Host:
-    """The routers of this process, by instance number."""
+    """The routers of this process, by instance number; make gives what decides, from settings and a seed."""
 
-    def __init__(self) -> None:
-        self.routers: dict[int, Balancer] = {}
+    def __init__(self, make: Callable[[io.Settings, int], Decider] = Balancer) -> None:
+        self.make = make
+        self.routers: dict[int, Decider] = {}
 
     def reply(self, line: bytes) -> bytes:
         """Plays one batch and gives the line that answers it."""
@@ -154,7 +162,7 @@
         if name == "UP":
             seed, info = message["nonce64"], message["info"]
             try:
-                self.routers[i] = Balancer(read_settings(info), seed)
+                self.routers[i] = self.make(read_settings(info), seed)
             except SettingError as error:
                 self.routers.pop(i, None)
                 print(f"instance {i}: {error}", file=sys.stderr)
@@ -165,9 +173,9 @@
             print(f"skipped: unknown event {name!r} for instance {i}", file=sys.stderr)
 
 
-def main() -> int:
+def main(host: Host | None = None) -> int:
     """Answers each line of standard input until it ends."""
-    host, out = Host(), sys.stdout.buffer
+    host, out = host or Host(), sys.stdout.buffer
     for number, line in enumerate(sys.stdin.buffer, 1):
         try:
             answer = host.reply(line)
