--- a/applehub/lab/faults.py
+++ b/applehub/lab/faults.py
@@ -193,11 +193,14 @@
         self.world.clients.notice(router)
 
     def _reload(self, fault: spec.Reload, _: Draws) -> None:
-        self.clock.at(_ns(fault.at_s), self._retune, fault.max_attempts)
+        self.clock.at(_ns(fault.at_s), self._retune, fault)
 
-    def _retune(self, max_attempts: int) -> None:
+    def _retune(self, fault: spec.Reload) -> None:
+        max_attempts = fault.max_attempts
         self.world.settings = replace(self.world.settings, max_attempts=max_attempts)
         for router in self.world.routers:
             if router.up:
                 router.max_attempts = max_attempts
                 router.deliver(api.Retuned(replace(self.world.settings)), router.alarm_cost)
+                if fault.moves:
+                    router.move()
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -170,6 +170,8 @@
         life, event = what
         if life != self.life or not self.up:
             return
+        if type(event) is api.Withdrawn and not self._withdrawn(event.id):
+            return
         for action in self.decider.handle(self.clock.now, event):
             match action:
                 case api.Send():
@@ -200,6 +202,11 @@
 
         self.world.registry.subscribe(self.index, self.version, told)
 
+    def move(self) -> None:
+        """Discovery is elsewhere from now on: a watch that is on begins anew there, at once."""
+        if self.up and self.subscribed:
+            self._subscribe()
+
     def _members(self, event: api.Members, version: int) -> None:
         self.version = version
         for entry in event.entries:
@@ -235,10 +242,17 @@
     def withdraw(self, asked: Asked) -> None:
         """The client has left early."""
         if self.up and asked.final < 0 and asked.id in self.asked:
-            asked.final = self.clock.now
-            self._note(asked, "withdrawn")
             self.deliver(api.Withdrawn(asked.id), self.alarm_cost)
-            self._release(asked)
+
+    def _withdrawn(self, name: str) -> bool:
+        """Ends a request as its router hears of it, and not before; whether it was open."""
+        asked = self.asked.get(name)
+        if asked is None or asked.final >= 0:
+            return False
+        asked.final = self.clock.now
+        self._note(asked, "withdrawn")
+        self._release(asked)
+        return True
 
     def _final(self, name: str, how: str, retry_after: int) -> None:
         asked = self.asked.get(name)
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -214,6 +214,15 @@
     edge_s: Positive = 0.5  # how long it rises and falls
 
 
+class Ramp(Part):
+    """The rate goes evenly to a multiple and stays there."""
+
+    kind: Literal["ramp"]
+    at_s: NotNegative
+    for_s: Positive
+    factor: Positive
+
+
 class Shift(Part):
     """Part of all traffic moves into one zone."""
 
@@ -332,11 +341,12 @@
 
 
 class Reload(Part):
-    """Every router reads its settings anew (SIGHUP), with another number of attempts."""
+    """Every router reads its settings anew (SIGHUP): another number of attempts, discovery elsewhere."""
 
     kind: Literal["reload"]
     at_s: NotNegative
     max_attempts: Annotated[int, Field(ge=1, le=16)] = 4
+    moves: bool = False
 
 
 class DiscoveryTrouble(Part):
@@ -350,7 +360,7 @@
 
 
 Fault = Annotated[
-    Burst | Shift | HotKey | Scan | Neighbour | Shrink | Sick | ZoneLoss | Partition | Breaks | Replace
+    Burst | Ramp | Shift | HotKey | Scan | Neighbour | Shrink | Sick | ZoneLoss | Partition | Breaks | Replace
     | KillRouters | RollRouters | Reload | DiscoveryTrouble,
     Field(discriminator="kind"),
 ]  # fmt: skip
--- a/applehub/lab/workload.py
+++ b/applehub/lab/workload.py
@@ -6,7 +6,7 @@
 from numpy.typing import NDArray
 
 from applehub.lab.clock import SECOND
-from applehub.lab.spec import Burst, Day, HotKey, Keys, Scan, Shift, Shrink
+from applehub.lab.spec import Burst, Day, HotKey, Keys, Ramp, Scan, Shift, Shrink
 from applehub.lab.streams import generator
 
 GRID = 0.02  # s between points of the rate's curve
@@ -57,6 +57,8 @@
     for fault in day.faults:
         if isinstance(fault, Burst):
             curve = curve * (1 + (fault.factor - 1) * _trapezoid(at, fault.at_s, fault.for_s, fault.edge_s))
+        elif isinstance(fault, Ramp):
+            curve = curve * np.interp(at, [fault.at_s, fault.at_s + fault.for_s], [1, fault.factor])
         elif isinstance(fault, Shrink):
             end = fault.at_s + fault.for_s
             curve = curve * np.interp(at, [fault.at_s - 2, end - 2], [1, 1 - fault.part])
