--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -38,7 +38,7 @@
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
 WARMING_TOKENS = 2  # most that a router saves up for a server that warms up: one would lose half of them
 # Guards caches against keys that move for one request: what was lately seen hit passes on first, since few of
-# such keys are much work, and soon hit elsewhere. Another is missed wherever it was not; its owner may have it.
+# such keys are much work, and soon hit elsewhere. Another is missed there, though its owner may have it.
 RARE_STAYS = 2  # times the part that a server is thought to bear, for keys not lately seen hit
 KIND_STEP = 1 / 16  # part of a kind's share that a slow answer of one of its servers takes
 
