Let rare keys stay only against what a kind bears, not against a server's own share

Change: the part that rare keys are spared is the kind's, on which routers disagree most; a server that was slow itself passes all keys of its far end as before.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -736,10 +736,10 @@
             # Guards against a range that is more than its server bears: the far end passes to the next, which
             # bears its part of that; what nobody bears goes back. What warms up takes up keys by its age.
             warming = 0 < server.cold_since > self.now - self.settings.ramp_time
-            learned = server.share * (1 if warming else self._kind(server).share)
-            if job.likely_miss and not warming:
-                learned = min(1.0, learned * RARE_STAYS)
-            bears = learned * server.size
+            of_kind = 1.0 if warming else self._kind(server).share
+            if job.likely_miss:
+                of_kind = min(1.0, of_kind * RARE_STAYS)
+            bears = server.share * of_kind * server.size
             if depth >= bears and server not in passed:
                 depth = (depth - bears) / (1 - bears)
                 passed.append(server)
