--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -37,9 +37,6 @@
 BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
 WARMING_TOKENS = 2  # most that a router saves up for a server that warms up: one would lose half of them
-# Guards caches against keys that move for one request: what was lately seen hit passes on first, since few of
-# such keys are much work, and soon hit elsewhere. Another is missed there, though its owner may have it.
-RARE_STAYS = 2  # times the part that a server is thought to bear, for keys not lately seen hit
 KIND_STEP = 1 / 16  # part of a kind's share that a slow answer of one of its servers takes
 
 
@@ -736,10 +733,7 @@
             # Guards against a range that is more than its server bears: the far end passes to the next, which
             # bears its part of that; what nobody bears goes back. What warms up takes up keys by its age.
             warming = 0 < server.cold_since > self.now - self.settings.ramp_time
-            of_kind = 1.0 if warming else self._kind(server).share
-            if job.likely_miss:
-                of_kind = min(1.0, of_kind * RARE_STAYS)
-            bears = server.share * of_kind * server.size
+            bears = server.share * server.size * (1 if warming else self._kind(server).share)
             if depth >= bears and server not in passed:
                 depth = (depth - bears) / (1 - bears)
                 passed.append(server)
