Look kinds up without making one, and count error shares only where there are errors

Cause: each look at a server's kind made a new Kind as a default, four times a request, and each outcome worked out the fleet's mean flow although most reports tell of no errors (profile of the module alone, 15 servers). Change: both are done only where they count.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -711,7 +711,7 @@
         limit, crowd = job.spec.aim * SLOW, CROWD
         if job.marked:
             limit, crowd = job.spec.aim * SLOW_IF_MARKED, CROWD_IF_MARKED
-        hops = 0
+        hops, ramp_time = 0, self.settings.ramp_time
         depth, taken_up, owner, names = self.ranges.locate(job.request.key or job.request.id, self.now)
         near: Iterable[Server] = (self.servers[name] for name in names if name in self.servers)
         if job.skip or self.crowded > 1 / 2:
@@ -724,15 +724,15 @@
         for server in chain(near, passed):
             name = server.member.server
             # Rule 4: a server that warms up bears of its own range what was taken up since it started.
-            warm = taken_up if name == owner else self.now - self.settings.ramp_time
-            head = int(self.settings.cold_from * self.settings.ramp_time) if name == owner else 0
+            warm = taken_up if name == owner else self.now - ramp_time
+            head = int(self.settings.cold_from * ramp_time) if name == owner else 0
             if name in job.tried or server.cold_since > max(0, warm + head):
                 continue
             if not server.open(self.now):
                 continue
             # Guards against a range that is more than its server bears: the far end passes to the next, which
             # bears its part of that; what nobody bears goes back. What warms up takes up keys by its age.
-            warming = 0 < server.cold_since > self.now - self.settings.ramp_time
+            warming = 0 < server.cold_since > self.now - ramp_time
             bears = server.share * server.size * (1 if warming else self._kind(server).share)
             if depth >= bears and server not in passed:
                 depth = (depth - bears) / (1 - bears)
@@ -764,7 +764,10 @@
         return self.settings.balancers * self.copies * self._kind(server).uncrowded
 
     def _kind(self, server: Server) -> Kind:
-        return self.kinds.setdefault(server.member.kind, Kind())
+        kind = self.kinds.get(server.member.kind)
+        if kind is None:
+            kind = self.kinds[server.member.kind] = Kind()
+        return kind
 
     def _send(self, job: Job, server: Server) -> None:
         key, read = job.request.key, job.at_origin and not job.request.write
@@ -907,11 +910,13 @@
     def _failed_part(self, event: api.Outcome) -> float:
         """The part of a server's answers that are errors, by this one, or by its report beside its equal part
         of what all routers are asked."""
-        told = event.load.eps if event.load is not None else 0.0
-        mean = (
-            self.flow.per_second(self.now) * self.settings.balancers / max(1, len(self.ranges.deals[-1][1]))
-        )
-        return 1.0 if event.status is api.Status.ERROR else min(1.0, max(0.0, told) / max(1.0, mean))
+        if event.status is api.Status.ERROR:
+            return 1.0
+        if event.load is None or event.load.eps <= 0:
+            return 0.0
+        servers = max(1, len(self.ranges.deals[-1][1]))
+        mean = self.flow.per_second(self.now) * self.settings.balancers / servers
+        return min(1.0, event.load.eps / max(1.0, mean))
 
     def _fails_most(self, server: Server) -> bool:
         """Guards against a server that fails most of what it is sent, and so quickly that it seems idle.
