Name the variable where an inherited descriptor is no number

Cause: a word was told as an invalid literal of the configuration file, and a negative number ended the router with a traceback and code 1 (tried by hand with abc, 99, a socket that does not listen, and -1). Change: the value is checked where it is read; the line names the variable and what was expected, code 2.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -91,6 +91,10 @@
         # The variable first: the file may be shared by two processes of an upgrade, the variable never is.
         console = os.environ.get("BALANCER_CONSOLE") or told.get("console")
         inherited = os.environ.get("BALANCER_INHERITED_FD") or None
+        if inherited is not None and not (inherited.isascii() and inherited.isdigit()):
+            raise ConfigurationError(
+                f"BALANCER_INHERITED_FD: expected a descriptor's number, got {inherited!r}"
+            )
         return Configuration(
             read_endpoint(told.get("listen")),
             read_endpoint(told.get("discovery")),
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,6 +9,7 @@
 import pytest
 from peers import MISS, PATIENCE, info, router, soon
 
+from applehub.__main__ import ConfigurationError, read_configuration
 from applehub.node import console
 from applehub.node.clients import inherited_listener
 from applehub.node.console import CallError, Console
@@ -183,3 +184,15 @@
         if process.returncode is None:
             process.kill()
         listener.close()
+
+
+@pytest.mark.parametrize("told", ["listener", "-1", "7.0"])
+def test_a_descriptor_that_is_no_number_is_named(
+    told: str, tmp_path: os.PathLike[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = os.path.join(tmp_path, "config.json")
+    with open(path, "wb") as file:
+        file.write(orjson.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": info()}))
+    monkeypatch.setenv("BALANCER_INHERITED_FD", told)
+    with pytest.raises(ConfigurationError, match=f"BALANCER_INHERITED_FD: expected .*, got '{told}'"):
+        read_configuration(path)
