--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -27,6 +27,7 @@
 from applehub.settings import Json
 
 LEAST_SHOWN = 0.001  # of the worth: causes that cost every policy less are summed
+PICTURES = (".png", ".svg", ".pdf")
 MEASURES = ("G", "whole", "worst_window")
 SHIPPED = resources.files("applehub.lab") / "experiments"
 
@@ -180,6 +181,24 @@
     Console(width=None if sys.stdout.isatty() else 140).print(table)
 
 
+@main.command()
+@click.argument("results", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="PNG, SVG or PDF [RESULTS.png].")
+@guarded
+def plot(results: Path, out: Path | None) -> None:
+    """Draws RESULTS: worth served by second, and worth lost by cause."""
+    header, records = read_results(results)
+    if not records:
+        raise ResultsError(f"{results}: expected at least one play")
+    path = out or results.with_suffix(".png")
+    if path.suffix not in PICTURES:
+        raise ResultsError(f"{path}: expected a file that ends in {', '.join(PICTURES)}")
+    from applehub.lab import picture  # here alone: it takes half a second, and no other command needs it
+
+    picture.draw(records, path, header["name"])
+    click.echo(f"{path}")
+
+
 @main.command()
 @click.argument("before", type=click.Path(path_type=Path))
 @click.argument("after", type=click.Path(path_type=Path))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -62,6 +62,10 @@
     for shown in (["show"], ["show", "--losses"], ["show", "--json"]):
         assert "random" in command(*shown, str(cut))[1]
     assert "no" in command("compare", str(cut), str(cut))[1]
+    picture = tmp_path / "tiny.png"
+    assert command("plot", str(cut), "--out", str(picture))[0] == 0
+    assert picture.read_bytes().startswith(b"\x89PNG") and picture.stat().st_size > 10_000
+    assert command("plot", str(cut), "--out", str(tmp_path / "tiny.txt"))[0] == 2
     lost = records[0]["result"]["examples"]["late"]
     code, text = command("trace", str(cut), lost)
     assert code == 0 and f"try {lost}" in text and "taken by router" in text
@@ -173,5 +177,5 @@
     code = "import sys, applehub.__main__, applehub.wirehost; print(*sys.modules)"
     printed = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True)
     loaded = {name.partition(".")[0] for name in printed.stdout.split()}
-    assert not loaded & {"numpy", "scipy", "pydantic", "click", "rich"}
+    assert not loaded & {"numpy", "scipy", "pydantic", "click", "rich", "matplotlib", "hdrh", "psutil"}
     assert "applehub.lab" not in printed.stdout
