Take dead state and second copies out of the lab

Cause: read again as a whole, the lab held a file reader that nothing called beside load_plan, counts and flags that nobody read (work done, crossings by request, servers that accept nothing, a progress hook, a whole history where the last entry is asked for), the range formula of KeyRanges, an address reader beside read_endpoint, a PING written out beside resp.command, worth lost by cause added up in two places, and one loop each for servers that shrink and that are replaced.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -16,7 +16,7 @@
 from applehub import wirehost
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
-from applehub.lab.compare import broken_rules, grouped, mean_of, paired, point_name, standing
+from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
 from applehub.lab.live.commands import demo, load
 from applehub.lab.policies import BLIND
 from applehub.lab.problems import guarded
@@ -114,7 +114,6 @@
 def _summary(records: list[Json]) -> list[Json]:
     groups, rows = grouped(records), []
     for (point, policy), group in groups.items():
-        causes = sorted({cause for one in group for cause in one["result"]["losses"]})
         means = {name: mean_of(one["result"][name] for one in group) for name in MEASURES}
         rows.append(
             {
@@ -127,10 +126,7 @@
                     for record in group
                 ).value,
                 "between": standing(groups, point, policy),
-                "losses": {
-                    cause: mean_of(one["result"]["losses"].get(cause, 0.0) for one in group).value
-                    for cause in causes
-                },
+                "losses": mean_losses(group),
                 "broken": broken_rules(group),
             }
         )
--- a/applehub/lab/compare.py
+++ b/applehub/lab/compare.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import orjson
 from scipy import stats
 
 from applehub.settings import Json
@@ -70,6 +69,14 @@
     return groups
 
 
+def mean_losses(records: list[Json]) -> dict[str, float]:
+    """Worth lost by cause, the mean over all plays: a cause that one does not list cost it nothing."""
+    causes = sorted({cause for one in records for cause in one["result"]["losses"]})
+    return {
+        cause: mean_of(one["result"]["losses"].get(cause, 0.0) for one in records).value for cause in causes
+    }
+
+
 def broken_rules(records: list[Json]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for record in records:
@@ -80,10 +87,10 @@
 
 def paired(before: list[Json], after: list[Json], path: str) -> tuple[Mean, Mean, Mean] | None:
     """A measure before, after, and their difference over the seeds that both hold."""
-    seeds = {orjson.dumps(one["seed"]): measure(one["result"], path) for one in before}
+    seeds = {one["seed"]: measure(one["result"], path) for one in before}
     pairs = []
     for one in after:
-        first, second = seeds.get(orjson.dumps(one["seed"])), measure(one["result"], path)
+        first, second = seeds.get(one["seed"]), measure(one["result"], path)
         if first is not None and second is not None:
             pairs.append((first, second))
     if not pairs:
@@ -97,16 +104,9 @@
 
 def standing(groups: dict[tuple[str, str], list[Json]], point: str, policy: str) -> float | None:
     """Where a policy's G lies between random choice (0) and the one that sees all (1)."""
-    means = {
-        name: mean_of(record["result"]["G"] for record in groups[point, name]).value
-        for name in (policy, "random", "oracle")
-        if (point, name) in groups
-    }
-    if (
-        len(means) < (3 if policy not in ("random", "oracle") else 2)
-        or "oracle" not in means
-        or "random" not in means
-    ):
+    names = {policy, "random", "oracle"}
+    if any((point, name) not in groups for name in names):
         return None
+    means = {name: mean_of(record["result"]["G"] for record in groups[point, name]).value for name in names}
     width = max(0.1, means["oracle"] - means["random"])
     return 1 - (means["oracle"] - means[policy]) / width
--- a/applehub/lab/discovery.py
+++ b/applehub/lab/discovery.py
@@ -27,7 +27,7 @@
         self.clock, self.spec, self.draws = clock, spec, draws
         self.entries: dict[str, api.Member] = {}
         self.changes: list[api.Member] = []  # by version
-        self.listed: dict[str, list[tuple[int, api.State]]] = {}  # when it listed what, by server
+        self.listed: dict[str, tuple[int, api.State]] = {}  # what it listed last, and when, by server
         self.subscribers: dict[int, Subscriber] = {}
         self.free_at = 0
         self.slower, self.down = 1.0, False
@@ -47,7 +47,7 @@
         else:
             self.entries[entry.server] = entry
         self.changes.append(entry)
-        self.listed.setdefault(entry.server, []).append((self.clock.now, entry.state))
+        self.listed[entry.server] = (self.clock.now, entry.state)
         for number in self.subscribers:
             if self.subscribers[number].on and not self.down:
                 delay = int(self.draws.uniform() * 2 * self.spec.spread_ms * MILLI)
--- a/applehub/lab/faults.py
+++ b/applehub/lab/faults.py
@@ -31,7 +31,7 @@
             spec.ZoneLoss: self._zone_loss,
             spec.Partition: self._partition,
             spec.Breaks: self._breaks,
-            spec.Replace: self._replace,
+            spec.Replace: self._shrink,
             spec.KillRouters: self._kills,
             spec.RollRouters: self._roll_routers,
             spec.Reload: self._reload,
@@ -86,38 +86,30 @@
 
     def _break_connections(self, server: CacheServer) -> None:
         """A machine that is back resets what was open while nobody heard of it."""
-        for attempt in server.stop():
-            attempt.router.broken(attempt)
+        self.world.stop_server(server)
         server.up = True
 
-    def _shrink(self, fault: spec.Shrink, draws: Draws) -> None:
+    def _shrink(self, fault: spec.Shrink | spec.Replace, draws: Draws) -> None:
+        """Servers drain and end in turn; where they are replaced, another joins as each begins to drain."""
         leaving = self._some(fault.part, draws)
         for number, server in enumerate(leaving):
-            at = fault.at_s + fault.for_s * number / max(1, len(leaving))
+            at = fault.at_s + fault.for_s * number / len(leaving)
+            if isinstance(fault, spec.Replace):
+                self.clock.at(_ns(at), self._join, server)
             self.clock.at(_ns(at), self._drain, server)
             self.clock.at(_ns(at + fault.drain_s), self._end, server)
 
     def _drain(self, server: CacheServer) -> None:
-        world = self.world
-        entry = replace(world.entry(server), state=api.State.DRAINING)
-        world.registry.set(entry)
+        self.world.registry.set(replace(self.world.entry(server), state=api.State.DRAINING))
 
     def _end(self, server: CacheServer) -> None:
         """A planned end: the list knows at once."""
         self.world.stop_server(server)
         self.world.registry.set(replace(self.world.entry(server), state=api.State.GONE))
 
-    def _replace(self, fault: spec.Replace, draws: Draws) -> None:
-        leaving = self._some(fault.part, draws)
-        for number, server in enumerate(leaving):
-            at = fault.at_s + fault.for_s * number / max(1, len(leaving))
-            self.clock.at(_ns(at), self._join, server)
-            self.clock.at(_ns(at), self._drain, server)
-            self.clock.at(_ns(at + fault.drain_s), self._end, server)
-
     def _join(self, like: CacheServer) -> None:
         server = self.world.add_server(like.kind, like.zone)
-        server.start(cold=True)
+        server.start()
         self.world.registry.notice(self.world.entry(server), self.world.day.discovery.add_s)
 
     def _zone_loss(self, fault: spec.ZoneLoss, _: Draws) -> None:
@@ -132,7 +124,7 @@
         self.world.registry.notice(gone, self.world.day.discovery.notice_s)
 
     def _come_back(self, server: CacheServer) -> None:
-        server.start(cold=True)
+        server.start()
         self.world.registry.notice(self.world.entry(server), self.world.day.discovery.add_s)
 
     # The network and discovery
--- a/applehub/lab/live/bench.py
+++ b/applehub/lab/live/bench.py
@@ -16,12 +16,14 @@
 import orjson
 import psutil
 
+from applehub.lab.clock import MILLI, SECOND
 from applehub.lab.live.client import Load, Player, Seen
 from applehub.lab.live.standins import Counts, host
+from applehub.node.discovery import read_endpoint
+from applehub.node.resp import command
 from applehub.settings import Json
 
 READY_WITHIN = 20.0  # s
-SECOND = 1_000_000_000
 MB = 1 << 20
 SAMPLE = 0.2  # s between looks at the router's process
 
@@ -32,7 +34,7 @@
 
 def settings(wait_ms: int) -> Json:
     """What the router is told: two classes, the router fetches from the origin, lists come on request."""
-    deadline = wait_ms * 1_000_000
+    deadline = wait_ms * MILLI
     classes = [
         {"name": "read", "aim": deadline // 2, "deadline": deadline, "effect": "safe"},
         {
@@ -149,8 +151,7 @@
 
     @property
     def caches(self) -> list[tuple[str, int]]:
-        ends = [str(one["endpoint"]).rpartition(":") for one in self.targets if one["model"] == "cache"]
-        return [(where, int(port)) for where, _, port in ends]
+        return [read_endpoint(one["endpoint"]) for one in self.targets if one["model"] == "cache"]
 
     def counts(self) -> Counts:
         self.pipe.send("counts")
@@ -185,7 +186,7 @@
     while loop.time() - began < READY_WITHIN:
         one.router.sample()
         try:
-            if await say(one.listen, b"*1\r\n$4\r\nPING\r\n") == b"+PONG\r\n":
+            if await say(one.listen, command(b"PING")) == b"+PONG\r\n":
                 return loop.time() - began
         except OSError:
             pass  # it does not listen yet
--- a/applehub/lab/live/client.py
+++ b/applehub/lab/live/client.py
@@ -181,12 +181,10 @@
             self.seen.unanswered += 1
             return
         self.seen.times.record_value(max(1, int((self.loop.time() - due) * 1e6)))
-        if isinstance(answer, bytes) or (isinstance(answer, list) and answer and answer[0] is not None):
+        if isinstance(answer, bytes | list):  # a list where a cache is asked directly, a miss too
             self.seen.served += 1
         elif isinstance(answer, hiredis.ReplyError) and str(answer).startswith("BUSY"):
             self.seen.refused += 1
-        elif isinstance(answer, list):
-            self.seen.served += 1  # a miss, where a cache is asked directly
         else:
             self.seen.failed += 1
         self._free(line)
--- a/applehub/lab/picture.py
+++ b/applehub/lab/picture.py
@@ -5,7 +5,7 @@
 
 import matplotlib
 
-from applehub.lab.compare import grouped
+from applehub.lab.compare import grouped, mean_losses
 from applehub.settings import Json
 
 matplotlib.use("Agg")  # files alone: no screen is asked for
@@ -28,10 +28,7 @@
 
 
 def _losses(group: list[Json]) -> dict[str, float]:
-    whole: dict[str, float] = {}
-    for record in group:
-        for cause, part in record["result"]["losses"].items():
-            whole[cause] = whole.get(cause, 0.0) + part / len(group)
+    whole = mean_losses(group)
     large = {cause: part for cause, part in whole.items() if part >= LEAST}
     rest = sum(whole.values()) - sum(large.values())
     return {**large, "others": rest} if rest else large
--- a/applehub/lab/policies.py
+++ b/applehub/lab/policies.py
@@ -4,6 +4,7 @@
 from bisect import bisect
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 from zlib import crc32
 
@@ -167,17 +168,20 @@
     def choose(self, job: Job) -> str | None:
         key, work = job.request.key or "", self.world.mean_work
         due = self.settings.classes[job.request.cls].aim * 0.9
-        storing = [name for name in self.ready if key in self.world.server(name).memory]
-        places = [(self._wait(name, work), name) for name in storing if name not in job.tried]
-        best = min(places, default=(float("inf"), ""))
-        if best[0] < due:
-            return best[1]
-        near = sorted(self.ready, key=lambda name: crc32(f"{name}{key}".encode()))[:4]
-        places = [(self._wait(name, work), name) for name in near if name not in job.tried]
-        best = min(places, default=(float("inf"), ""))
-        if best[0] >= due or self.world.origin.held > 4 * self.world.origin.slots:
+        wait, name = self._soonest(
+            [one for one in self.ready if key in self.world.server(one).memory], job, work
+        )
+        if wait < due:
+            return name
+        near = sorted(self.ready, key=lambda one: crc32(f"{one}{key}".encode()))[:4]
+        wait, name = self._soonest(near, job, work)
+        if wait >= due or self.world.origin.held > 4 * self.world.origin.slots:
             return None
-        return best[1]
+        return name
+
+    def _soonest(self, names: list[str], job: Job, work: float) -> tuple[float, str]:
+        places = [(self._wait(name, work), name) for name in names if name not in job.tried]
+        return min(places, default=(float("inf"), ""))
 
 
 BLIND: dict[str, type[Plain]] = {
@@ -190,7 +194,7 @@
 def maker(name: str, world: "World") -> Callable[[api.Settings, int], Decider]:
     """What makes a router's decisions under a policy's name."""
     if name == "router":
-        return lambda settings, seed: Balancer(settings, seed)
+        return Balancer
     if name == "oracle":
-        return lambda settings, seed: Oracle(settings, seed, world)
-    return lambda settings, seed: BLIND[name](settings, seed)
+        return partial(Oracle, world=world)
+    return BLIND[name]
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -58,7 +58,6 @@
     final: int = -1  # when the router gave its answer
     heard: bool = False  # the client has it, or no longer waits
     made: int = 0
-    crossed: bool = False
     live: "dict[int, Attempt]" = field(default_factory=dict)  # may have run
     out: "dict[int, Attempt]" = field(default_factory=dict)
     missed: list[CacheServer] = field(default_factory=list)
@@ -134,7 +133,7 @@
                 self.world.clients.answered(asked, "unreachable", 0, self.world.net.client)
         self.asked.clear()
         for name, idle in self.idle.items():
-            server = self.world.place(name)
+            server = self.world.places[name]
             for _, incarnation in idle:
                 self._disconnect(server, incarnation)
         self.idle.clear()
@@ -222,7 +221,7 @@
         self.deliver(event, self.member_cost * (1 + len(event.entries)))
 
     def _forget(self, name: str) -> None:
-        server = self.world.place(name)
+        server = self.world.places[name]
         for _, incarnation in self.idle.pop(name, ()):
             self._disconnect(server, incarnation)
 
@@ -276,7 +275,7 @@
     # Attempts
 
     def _send(self, action: api.Send) -> None:
-        now, asked, server = self.clock.now, self.asked.get(action.id), self.world.place(action.server)
+        now, asked, server = self.clock.now, self.asked.get(action.id), self.world.places[action.server]
         if asked is None:
             self.world.rules.unknown(action, self)
             return
@@ -458,7 +457,7 @@
         before = self.clock.now - self.idle_most
         for name, idle in self.idle.items():
             while idle and idle[0][0] < before:
-                self._disconnect(self.world.place(name), idle.popleft()[1])
+                self._disconnect(self.world.places[name], idle.popleft()[1])
 
     def _note(self, asked: Asked, text: str) -> None:
         asked.events.append((self.clock.now, text))
--- a/applehub/lab/rules.py
+++ b/applehub/lab/rules.py
@@ -110,9 +110,9 @@
         if told or router.subscribed or now - router.asked_at <= self.ask_within:
             return told
         listed = self.world.registry.listed.get(server)
-        if not listed or listed[-1][1] is api.State.READY:
+        if listed is None or listed[1] is api.State.READY:
             return 0
-        counts = max(listed[-1][0], router.asked_at) + self.ask_within
+        counts = max(listed[0], router.asked_at) + self.ask_within
         return counts if counts <= now else 0
 
     # Cold servers
--- a/applehub/lab/servers.py
+++ b/applehub/lab/servers.py
@@ -24,7 +24,7 @@
     a job that enters at v with work w leaves when the clock shows v + w."""
 
     __slots__ = (
-        "_count", "_due", "_jobs", "_last", "_rate", "_v", "busy", "choke", "choke_at", "clock", "cores",
+        "_count", "_due", "_jobs", "_last", "_rate", "_v", "choke", "choke_at", "clock", "cores",
         "room", "slots", "speed", "waiting",
     )  # fmt: skip
 
@@ -34,7 +34,6 @@
         self.waiting: deque[tuple[Any, int]] = deque()
         self._jobs: list[tuple[float, int, Any]] = []
         self._v, self._rate, self._last, self._due, self._count = 0.0, 0.0, 0, 0, 0
-        self.busy = 0.0  # work done, ns on a core of speed 1
 
     @property
     def held(self) -> int:
@@ -86,9 +85,7 @@
     def _advance(self) -> None:
         now = self.clock.now
         if self._jobs:
-            step = (now - self._last) * self._rate
-            self._v += step
-            self.busy += step * len(self._jobs)
+            self._v += (now - self._last) * self._rate
         self._last = now
 
     def _plan(self) -> None:
@@ -128,7 +125,6 @@
     def __init__(
         self,
         clock: Clock,
-        index: int,
         name: str,
         kind: int,
         model: Kind,
@@ -140,17 +136,9 @@
         slots = max(1, round(model.slots_per_core * model.cores))
         super().__init__(clock, model.cores, speed, slots, max(1, round(model.queue_per_core * model.cores)))
         self.choke, self.choke_at = spec.choke, spec.choke_at * model.cores
-        self.index, self.id, self.kind, self.zone, self.spec, self.draws = (
-            index,
-            name,
-            kind,
-            zone,
-            spec,
-            draws,
-        )
+        self.id, self.kind, self.zone, self.spec, self.draws = name, kind, zone, spec, draws
         self.cold_from, self.ramp = model.cold_from, int(model.cold_s * SECOND)
         self.started, self.up, self.silent, self.fallen = LONG_AGO, True, False, False
-        self.accepts = True  # not draining
         self.incarnation = 0
         self.neighbour, self.slowed, self.failing = 0.0, 0.0, spec.error_share
         self.memory: dict[str, None] = {}
@@ -163,9 +151,7 @@
         self.report_errors = 0
         self.hits = self.misses = 0
         self.events: deque[tuple[int, str]] = deque(maxlen=EVENTS_KEPT)
-        self.budget: deque[tuple[int, int, bool]] = (
-            deque()
-        )  # what came while it was cold: when, work, informed
+        self.budget: deque[tuple[int, int, bool]] = deque()  # what came to it cold: when, work, informed
         self.tip_multiple, self.tip_window = 0.0, 1
 
     # Speed
@@ -193,12 +179,11 @@
 
     # Life
 
-    def start(self, cold: bool) -> None:
-        """Its process starts, with an empty memory where it is cold."""
-        self.up, self.fallen, self.accepts = True, False, True
-        if cold:
-            self.started = self.clock.now
-            self.memory.clear()
+    def start(self) -> None:
+        """Its process starts, cold and with an empty memory."""
+        self.up, self.fallen = True, False
+        self.started = self.clock.now
+        self.memory.clear()
         self.events.append((self.clock.now, "started"))
 
     def stop(self) -> "list[Attempt]":
@@ -216,12 +201,8 @@
         """An attempt's last byte has come; whether it tips this cold server over."""
         demand = attempt.asked.demand
         work = demand.work + (self.handshake if attempt.opened else 0)
-        tipped = self.started > LONG_AGO and self._tipped(work, informed)
-        if tipped:
+        if self.started > LONG_AGO and self._tipped(work, informed):
             return True
-        if not self.accepts:
-            attempt.router.answered(attempt, api.Status.FULL, 0)
-            return False
         if self.failing and self.draws.uniform() < self.failing:
             self.report_errors += 1
             attempt.router.answered(attempt, api.Status.ERROR, 0)
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -5,8 +5,6 @@
 
 import copy
 import itertools
-import tomllib
-from pathlib import Path
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
@@ -431,22 +429,10 @@
         at[last] = value
 
 
-def read_experiment(path: str | Path) -> tuple[Experiment, list[tuple[Json, Day]]]:
-    """Reads and checks a file; gives it and the points of its sweep, each with its settings.
-
-    Raises SpecError, a line for each fault, where the file can't be read or makes no sense."""
-    name = str(path)
-    try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise SpecError(f"{name}: {problem.strerror or problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise SpecError(f"{name}: not TOML: {problem}") from None
-    return read_raw(name, raw)
-
-
 def read_raw(name: str, raw: Json) -> tuple[Experiment, list[tuple[Json, Day]]]:
-    """The same, of what a file holds."""
+    """Checks what a file holds; gives it and the points of its sweep, each with its settings.
+
+    name is what errors call it. Raises SpecError, a line for each fault, where it makes no sense."""
     try:
         whole = Experiment.model_validate(raw)
     except ValidationError as error:
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from zlib import crc32
 
 from applehub import interface as api
 from applehub.lab.account import Account
@@ -19,6 +18,7 @@
 from applehub.lab.spec import Day, settings_of
 from applehub.lab.streams import Draws, generator
 from applehub.lab.workload import base_rate, draw_workload
+from applehub.logic import KeyRanges
 from applehub.settings import Json, read_settings
 from applehub.wirehost import Decider
 
@@ -91,7 +91,6 @@
         name = f"s-{generator(self.seed, f'server {number}').integers(1 << 32):08x}"
         server = CacheServer(
             self.clock,
-            number,
             name,
             kind,
             self.day.topology.kinds[kind],
@@ -118,10 +117,10 @@
                     server.store(key)
             return
         names = sorted(server.id for server in self.servers)
-        home = self._range_of if self.policy == "router" else self._home_by()
+        home = self._home_by_range(names) if self.policy == "router" else self._home_by_policy(names)
         full = 0
         for number, key in enumerate(self.workload.popular):
-            server = self.server(home(names, number, key))
+            server = self.server(home(number, key))
             if len(server.memory) < most:
                 server.memory[key] = None
                 full += len(server.memory) == most
@@ -131,16 +130,19 @@
             server.memory = dict.fromkeys(reversed(server.memory))
 
     @staticmethod
-    def _range_of(names: list[str], number: int, key: str) -> str:
-        return names[crc32(key.encode()) * len(names) >> 32]
+    def _home_by_range(names: list[str]) -> Callable[[int, str], str]:
+        """The module's own ranges: asked request by request it would learn."""
+        ranges = KeyRanges(1)
+        ranges.deal(0, names)
+        return lambda _, key: ranges.locate(key, 0)[2]
 
-    def _home_by(self) -> Callable[[list[str], int, str], str]:
+    def _home_by_policy(self, names: list[str]) -> Callable[[int, str], str]:
         """Asks the policy itself where it looks for a key, while nothing is out."""
         chooser = self.make(self.settings, 0)
         entries = [self.entry(server) for server in self.servers] + [self._origin_entry()]
         chooser.handle(0, api.Members(api.ListKind.CACHED, entries))
 
-        def home(names: list[str], number: int, key: str) -> str:
+        def home(number: int, key: str) -> str:
             name = f"fill {number}"
             actions = chooser.handle(0, api.Request(name, 0, SECOND, key))
             sends = [action for action in actions if isinstance(action, api.Send)]
@@ -155,9 +157,6 @@
         assert isinstance(place, CacheServer)
         return place
 
-    def place(self, name: str) -> Place:
-        return self.places[name]
-
     def entry(self, server: CacheServer) -> api.Member:
         since = 0 if server.started == LONG_AGO else server.started
         return api.Member(server.id, api.State.READY, server.kind, server.zone, 0, since)
@@ -203,7 +202,7 @@
             router.sweep()
         self.clock.after(SWEEP, self._sweep)
 
-    def play(self, progress: Callable[[float], None] | None = None) -> Json:
+    def play(self) -> Json:
         """Plays the day and what is still out after it; gives its figures."""
         self._fill()
         for entry in [*(self.entry(server) for server in self.servers), self._origin_entry()]:
@@ -214,11 +213,7 @@
         self.clients.begin()
         self.clock.after(SWEEP, self._sweep)
         end = int(self.day.seconds * SECOND) + self.longest_deadline + SECOND
-        step, calls = end // 20, 0
-        for part in range(1, 21):
-            calls += self.clock.run(step * part)
-            if progress is not None:
-                progress(part / 20)
+        calls = self.clock.run(end)
         return {**self.account.result(), "rules": self.rules.report(), "events": calls}
 
 
