--- /dev/null
+++ b/applehub/events.py
@@ -0,0 +1,114 @@
+"""Events of the programs beside the router: JSON lines with one schema and one vocabulary.
+
+A line holds `mono` (ns of the machine's monotonic clock, which all processes of a machine share), `wall`
+(Unix time, ns, as the process sees it), `process`, `incarnation` (how many times the process was started),
+`event`, perhaps `request`, and what the event's kind tells beside. Neither `run` nor `sim` imports this."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import orjson
+import structlog
+
+
+class Event(StrEnum):
+    """What may happen. The comment tells the fields beside those that every line has."""
+
+    STARTED = "started"  # pid
+    READY = "ready"  # address
+    EXITED = "exited"  # code; planned: whether the ground ended it
+    SAMPLE = "sample"  # cpu_s, memory_mb, descriptors: of a process, since its start
+    FAULT = "fault"  # fault: its number; kind, processes, edges: what it strikes
+    HEALED = "healed"  # fault
+    UNDONE = "undone"  # fault, why: it could not be carried out
+    ASKED = "asked"  # request, router, cls, key, wait_ms: written whole to a router
+    ANSWERED = "answered"  # request, router, how: served, refused or failed; ms
+    CLOSED = "closed"  # request, router: the connection ended with no whole answer
+    GAVE_UP = "gave_up"  # request, router: no answer in its time and the slack
+    EXTRA = "extra"  # request, router: an answer that nobody waits for
+    UNREACHED = "unreached"  # request, router: no connection came up
+    ATTEMPT = "attempt"  # request, router, server, cls: came in whole at a server
+    ENDED = "ended"  # request, router, server, how
+    FELL = "fell"  # server: more was sent to it while cold than it bears
+    LISTED = "listed"  # version, server, state: a change of the list
+    LIST_ASKED = "list_asked"  # router, since: the version that the caller holds, or none
+    TOLD = "told"  # router, version, states: written to the router
+    CALL = "call"  # router, words, answer: an operator's call
+
+
+@dataclass(slots=True)
+class Record:
+    """One event as it was read."""
+
+    mono: int
+    wall: int
+    process: str
+    incarnation: int
+    event: Event
+    request: str
+    more: dict[str, Any]
+
+    def line(self, since: int = 0) -> str:
+        """For people: ms since a moment, who, what."""
+        said = " ".join(f"{name}={value}" for name, value in self.more.items())
+        who = f"{self.process}#{self.incarnation}" if self.incarnation else self.process
+        return (
+            f"{(self.mono - since) / 1e6:12.3f} ms  {who:14} {self.event:10} {self.request} {said}".rstrip()
+        )
+
+
+class EventError(ValueError):
+    """A line that is none of the schema."""
+
+
+def _stamped(_: object, __: str, told: Any) -> Any:
+    told["mono"], told["wall"] = time.monotonic_ns(), time.time_ns()
+    return told
+
+
+def _rendered(_: object, __: str, told: Any) -> bytes:
+    return orjson.dumps(told)
+
+
+class Writer:
+    """Writes one process's events. Each line is handed to the system at once, so that SIGKILL loses none."""
+
+    def __init__(self, path: Path, process: str, incarnation: int) -> None:
+        self._file = open(path, "ab")  # noqa: SIM115 (until it is closed)
+        self._log: Any = structlog.wrap_logger(
+            structlog.BytesLogger(self._file),
+            processors=[_stamped, _rendered],
+            wrapper_class=structlog.make_filtering_bound_logger(0),
+            cache_logger_on_first_use=True,
+        ).bind(process=process, incarnation=incarnation)
+
+    def say(self, event: Event, **more: Any) -> None:
+        self._log.info(event, **more)
+
+    def close(self) -> None:
+        self._file.close()
+
+
+def parse(line: bytes) -> Record:
+    """Reads a line. Raises EventError."""
+    try:
+        told = orjson.loads(line)
+        record = Record(
+            told.pop("mono"), told.pop("wall"), told.pop("process"), told.pop("incarnation"),
+            Event(told.pop("event")), told.pop("request", ""), told,
+        )  # fmt: skip
+    except (ValueError, KeyError, TypeError, AttributeError) as problem:
+        raise EventError(f"{line[:80]!r}: {type(problem).__name__}: {problem}") from None
+    return record
+
+
+def read(path: Path) -> Iterator[Record]:
+    """All events of a file, in order. A last line that was cut off with its process is left out."""
+    with open(path, "rb") as file:
+        for line in file:
+            if line.endswith(b"\n"):
+                yield parse(line)
--- /dev/null
+++ b/applehub/lab/fleet/checks.py
@@ -0,0 +1,259 @@
+"""What must hold over a whole play. Each check reads the history and gives what breaks its rule, each with
+the events that show it and the faults of that time. A fault excuses what the rules let it excuse, and no
+more."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from applehub.events import Event, Record
+from applehub.lab.fleet.history import History
+from applehub.lab.fleet.plan import Plan
+
+MILLI = 1_000_000
+MOST_SHOWN = 14  # events of one broken rule
+ENDS = (Event.ANSWERED, Event.CLOSED, Event.GAVE_UP, Event.UNREACHED)
+# Faults under which the platform takes a request of that router for lost without the router's doing.
+LOSES = frozenset({"kill", "power", "stop", "slow"})
+LOSES_ON_EDGE = frozenset({"silent", "reset", "cut", "delay", "rate"})
+NEVER_RAN = frozenset({"full", "rejected", "miss"})
+GRACE = 700 * MILLI  # after SIGTERM, in which what comes is still owed an answer
+ATTEMPTS = 4
+
+
+@dataclass(slots=True)
+class Broken:
+    """A rule that was broken: what happened, and the events that show it."""
+
+    check: str
+    what: str
+    shown: list[Record]
+
+    def text(self, history: History) -> str:
+        """For people: the faults in it among the events, in order; times from the load's begin."""
+        first, last = self.shown[0].mono, self.shown[-1].mono
+        spans = [
+            one for one in history.records
+            if one.event in (Event.FAULT, Event.HEALED) and first - 2000 * MILLI <= one.mono <= last
+        ]  # fmt: skip
+        lines = sorted([*spans[-4:], *self.shown[-MOST_SHOWN:]], key=lambda one: one.mono)
+        return "\n".join([f"{self.check}: {self.what}", *("  " + one.line(history.begin) for one in lines)])
+
+
+Check = Callable[[History, Plan], Iterator[Broken]]
+
+
+def answered(history: History, plan: Plan) -> Iterator[Broken]:
+    """Each taken request has exactly one final answer, in its time and the slack."""
+    asked: dict[str, Record] = {}
+    ends: dict[str, Record] = {}
+    for one in history.records:
+        if one.event is Event.ASKED:
+            asked[one.request] = one
+        elif one.event in ENDS:
+            ends[one.request] = one
+        elif one.event is Event.EXTRA:
+            yield Broken("answered", f"{one.more['router']} gave an answer that nobody asked for", [one])
+    for name, first in asked.items():
+        end = ends.get(name)
+        if end is not None and end.event is Event.ANSWERED:
+            continue
+        if end is None:
+            yield Broken("answered", "a request that never ended", [first])
+        elif not _excused(history, first, end):
+            how = "not answered in its time" if end.event is Event.GAVE_UP else "its connection was ended"
+            between = [
+                one for one in history.records if one.request == name and first.mono < one.mono < end.mono
+            ]
+            yield Broken("answered", how, [first, *between, end])
+
+
+def _excused(history: History, asked: Record, end: Record) -> bool:
+    router = asked.more["router"]
+    for span in history.struck(asked.mono, end.mono, router, f"clients>{router}"):
+        if span.kind in LOSES_ON_EDGE or span.kind in LOSES:
+            return True
+        if span.kind == "term" and asked.mono - span.begin > GRACE:
+            return True
+    return False
+
+
+def resends(history: History, plan: Plan) -> Iterator[Broken]:
+    """No attempt past what the class allows: none after one that may have run for `once`, within the window
+    for `put`, at most so many for any."""
+    attempts: dict[str, list[Record]] = defaultdict(list)
+    ended: dict[tuple[str, str], Record] = {}
+    window = int(plan.rules.keyed_window_ms * MILLI)
+    for one in history.of(Event.ATTEMPT, Event.ENDED):
+        if one.event is Event.ATTEMPT:
+            attempts[one.request].append(one)
+        else:
+            ended[one.request, one.more["server"]] = one
+    for name, made in attempts.items():
+        if len(made) < 2:
+            continue
+        shown = sorted(
+            [
+                *made,
+                *(ended[name, one.more["server"]] for one in made if (name, one.more["server"]) in ended),
+            ],
+            key=lambda one: one.mono,
+        )
+        ran = [
+            one for one in made
+            if (end := ended.get((name, one.more["server"]))) is None or end.more["how"] not in NEVER_RAN
+        ]  # fmt: skip
+        cls = made[0].more["cls"]
+        if len(made) > ATTEMPTS:
+            yield Broken("resends", f"{len(made)} attempts", shown)
+        elif cls == "once" and ran and ran[0] is not made[-1]:
+            yield Broken("resends", "sent again after an attempt that may have run", shown)
+        elif cls == "put" and ran and made[-1].mono - ran[0].mono > window + _held_up(history, made[-1]):
+            yield Broken("resends", "sent again past the window in which a repeat is dropped", shown)
+
+
+@dataclass(slots=True)
+class _Known:
+    """What a router was told of a server, and since when."""
+
+    state: str
+    since: Record
+
+
+def drained(history: History, plan: Plan) -> Iterator[Broken]:
+    """Nothing new to a server past the slack since the router was told that it drains or is gone, nor ever to
+    one that the router's list never named."""
+    known: dict[str, dict[str, _Known]] = defaultdict(dict)
+    slack = int(plan.rules.drain_slack_ms * MILLI)
+    for one in history.of(Event.TOLD, Event.ATTEMPT):
+        router = one.more["router"]
+        if one.event is Event.TOLD:
+            states = dict(one.more["states"])
+            if one.more.get("whole"):
+                states |= {name: "Gone" for name in known[router] if name not in states}
+            if one.more.get("start"):  # a new process knows what it is started with, and no more
+                known[router] = {}
+            for name, state in states.items():
+                before = known[router].get(name)
+                if before is None or before.state != state:
+                    known[router][name] = _Known(state, one)
+            continue
+        server = one.more["server"]
+        told = known[router].get(server)
+        if told is None:
+            yield Broken("drained", f"{router} sent to {server}, which its list never named", [one])
+        elif told.state != "Ready" and one.mono - told.since.mono > slack + _held_up(history, one):
+            late = (one.mono - told.since.mono) / MILLI
+            what = f"{router} sent to {server} {late:.0f} ms after it was told: {told.state}"
+            yield Broken("drained", what, [told.since, one])
+
+
+def _held_up(history: History, attempt: Record) -> int:
+    """How long a send may have been on its way, or the router asleep, by the faults of that time."""
+    router, server, reach = attempt.more["router"], attempt.more["server"], 30_000 * MILLI
+    edges = (f"{router}>{server}", f"{router}>list")
+    spans = [
+        span for edge in edges for span in history.struck(attempt.mono - reach, attempt.mono, router, edge)
+        if span.kind in LOSES or span.kind in LOSES_ON_EDGE
+    ]  # fmt: skip
+    return max((min(attempt.mono, span.end) - span.begin + 500 * MILLI for span in spans), default=0)
+
+
+def by_hand(history: History, plan: Plan) -> Iterator[Broken]:
+    """A cache server out by hand gets nothing new from the yes and the slack on until the call back, over
+    restarts too, for as long as the router's disk is kept."""
+    out: dict[tuple[str, str], Record] = {}
+    slack = int(plan.rules.by_hand_slack_ms * MILLI)
+    lost = [
+        one for one in history.of(Event.FAULT) if one.more["kind"] == "kill" and not one.more["keep_disk"]
+    ]  # fmt: skip
+    for one in history.of(Event.CALL, Event.ATTEMPT, Event.FAULT):
+        if one.event is Event.FAULT:
+            if one in lost:
+                for key in [key for key in out if key[0] in one.more["processes"]]:
+                    del out[key]
+        elif one.event is Event.CALL and one.more["answer"] == "+OK":
+            call, _, server = one.more["words"].partition(" ")
+            if call == "OFFLINE":
+                out.setdefault((one.more["router"], server), one)
+            elif call == "ONLINE":
+                out.pop((one.more["router"], server), None)
+        elif one.event is Event.ATTEMPT:
+            call_out = out.get((one.more["router"], one.more["server"]))
+            if call_out is not None and one.mono - call_out.mono > slack + _held_up(history, one):
+                what = f"{one.more['router']} sent to {one.more['server']}, which is out by hand"
+                yield Broken("by_hand", what, [call_out, one])
+
+
+def versions(history: History, plan: Plan) -> Iterator[Broken]:
+    """No router's version of the list goes back within one life of its process."""
+    held: dict[str, Record] = {}
+    for one in history.of(Event.LIST_ASKED, Event.STARTED):
+        if one.event is Event.STARTED:
+            held.pop(one.more["of"], None)
+        elif one.more["since"] is not None:
+            before = held.get(one.more["router"])
+            if before is not None and before.more["since"] > one.more["since"]:
+                what = f"{one.more['router']} held {before.more['since']}, then {one.more['since']}"
+                yield Broken("versions", what, [before, one])
+            held[one.more["router"]] = one
+
+
+def stale(history: History, plan: Plan) -> Iterator[Broken]:
+    """Each router that was up all the while is told of a change within the bound, unless a fault struck the
+    way."""
+    bound = int(plan.rules.stale_ms * MILLI)
+    told: dict[str, list[Record]] = defaultdict(list)
+    for one in history.of(Event.TOLD):
+        told[one.more["router"]].append(one)
+    last = history.records[-1].mono if history.records else 0
+    for change in history.of(Event.LISTED):
+        end = change.mono + bound
+        if end > last:
+            continue
+        for router, heard in told.items():
+            lives = history.lives.get(router, [])
+            if not any(life.ready <= change.mono and life.end > end for life in lives):
+                continue
+            spans = history.struck(change.mono - bound, end, router, f"{router}>list")
+            spans += history.struck(change.mono - bound, end, "list")
+            if spans or any(
+                change.mono <= one.mono <= end and one.more["version"] >= change.more["version"]
+                for one in heard
+            ):
+                continue
+            what = f"{router} was not told of version {change.more['version']} within {bound // MILLI} ms"
+            yield Broken("stale", what, [change])
+
+
+def standing(history: History, plan: Plan) -> Iterator[Broken]:
+    """No process ends but by a plan, and no cold server is pushed over."""
+    for one in history.of(Event.EXITED, Event.FELL):
+        if one.event is Event.FELL:
+            yield Broken("standing", f"{one.more['server']} was cold and fell over", [one])
+        elif not one.more["planned"]:
+            yield Broken("standing", f"{one.more['of']} ended with code {one.more['code']}", [one])
+
+
+def limits(history: History, plan: Plan) -> Iterator[Broken]:
+    """Each router keeps to its memory and its descriptors."""
+    found: set[tuple[str, str]] = set()
+    most = {"descriptors": plan.fleet.sockets, "memory_mb": plan.fleet.memory_mb}
+    for one in history.of(Event.SAMPLE):
+        router = one.more["of"]
+        for what, bound in most.items():
+            over = router.startswith("router-") and one.more[what] > bound
+            if over and (router, what) not in found:
+                found.add((router, what))
+                yield Broken("limits", f"{router} holds {one.more[what]} {what}, {bound} allowed", [one])
+
+
+CHECKS: dict[str, Check] = {
+    check.__name__: check
+    for check in (answered, resends, drained, by_hand, versions, stale, standing, limits)
+}
+
+
+def judge(history: History, plan: Plan) -> list[Broken]:
+    """All that is broken."""
+    return [broken for check in CHECKS.values() for broken in check(history, plan)]
--- /dev/null
+++ b/applehub/lab/fleet/commands.py
@@ -0,0 +1,147 @@
+"""The lab's command `fleet`: plays plans on the proving ground."""
+
+import asyncio
+import sys
+from importlib import resources
+from pathlib import Path
+
+import click
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from applehub.lab.fleet.checks import CHECKS, Broken, judge
+from applehub.lab.fleet.draw import draw, shrink
+from applehub.lab.fleet.history import History, gather
+from applehub.lab.fleet.plan import Plan, load_plan
+from applehub.lab.fleet.play import run
+from applehub.lab.fleet.report import ENDS, cost, ends_of, totals
+from applehub.lab.fleet.variants import VARIANTS
+from applehub.lab.problems import guarded
+from applehub.lab.spec import SpecError
+from applehub.settings import Json
+
+SHIPPED = resources.files("applehub.lab.fleet") / "plans"
+MOST_SHOWN = 5  # broken rules of one check
+
+
+def shipped() -> list[str]:
+    return sorted(one.name.removesuffix(".toml") for one in SHIPPED.iterdir() if one.name.endswith(".toml"))
+
+
+def find(file: str) -> Plan:
+    """A plan's file, or the name of one that is shipped."""
+    path = Path(file)
+    if not path.exists() and file in shipped():
+        path = Path(str(SHIPPED / f"{file}.toml"))
+    if not path.exists():
+        raise SpecError(f"{file}: no such file; shipped are {', '.join(shipped())}")
+    return load_plan(path)
+
+
+@click.command()
+@click.argument("file", required=False)
+@click.option("--quick", is_flag=True, help="The shipped plan `quick`: under 30 s.")
+@click.option("--seed", type=click.IntRange(0), help="Draws a plan from a seed, in place of FILE.")
+@click.option("--routers", type=click.IntRange(1, 60), default=20, help="Of a drawn plan.")
+@click.option("--caches", type=click.IntRange(1, 60), default=20, help="Of a drawn plan.")
+@click.option("--faults", type=click.IntRange(0, 200), default=30, help="Of a drawn plan.")
+@click.option("--seconds", type=click.FloatRange(1, 3600), default=60.0, help="Of a drawn plan.")
+@click.option(
+    "--rate", type=click.FloatRange(1, 5000), default=300.0, help="Requests a second, of a drawn plan."
+)
+@click.option("--variant", type=click.Choice(sorted(VARIANTS)), help="A known-bad router.")
+@click.option("--shrink", "shrinking", is_flag=True, help="Cuts a plan that breaks a rule to a small one.")
+@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Keeps all files of the play.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@guarded
+def fleet(
+    file: str | None, quick: bool, seed: int | None, routers: int, caches: int, faults: int, seconds: float,
+    rate: float, variant: str | None, shrinking: bool, keep: Path | None, as_json: bool,
+) -> None:  # fmt: skip
+    """Plays plan FILE (or a shipped one by name): processes of the program, with faults between them.
+
+    Ends with code 0 where every check holds, 1 where one is broken, 2 where the plan is of no use."""
+    if (file is not None) + quick + (seed is not None) != 1:
+        raise SpecError("expected one of a FILE, --quick and --seed")
+    if seed is not None:
+        plan = draw(seed, routers, caches, faults, seconds, rate)
+    else:
+        plan = find("quick" if quick else file or "")
+    if variant:
+        plan = plan.model_copy(update={"fleet": plan.fleet.model_copy(update={"variant": variant})})
+    history = asyncio.run(run(plan, keep))
+    broken = judge(history, plan)
+    if as_json:
+        click.echo(orjson.dumps(summary(history, plan, broken), option=orjson.OPT_INDENT_2).decode())
+    else:
+        show(history, plan, broken)
+    if broken and shrinking:
+        small = asyncio.run(_shrunk(plan, broken))
+        click.echo(f"the smallest that still breaks: {len(small.faults)} faults")
+        for one in small.faults:
+            click.echo("  " + orjson.dumps(one.model_dump(exclude_defaults=True)).decode())
+    sys.exit(1 if broken else 0)
+
+
+async def _shrunk(plan: Plan, broken: list[Broken]) -> Plan:
+    checks = {one.check for one in broken}
+
+    async def breaks(one: Plan) -> bool:
+        return bool(checks & {found.check for found in judge(await run(one), one)})
+
+    return await shrink(plan, breaks, lambda text: click.echo(text, err=True))
+
+
+@click.command("judge")
+@click.argument("file")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@guarded
+def judge_again(file: str, folder: Path) -> None:
+    """Judges a play that was kept in FOLDER once more, by the bounds of plan FILE."""
+    plan = find(file)
+    history = gather(folder)
+    broken = judge(history, plan)
+    show(history, plan, broken)
+    sys.exit(1 if broken else 0)
+
+
+def summary(history: History, plan: Plan, broken: list[Broken]) -> Json:
+    """All that `show` tells."""
+    aim = plan.load.wait_ms / 2
+    ends = ends_of(history, aim)
+    costs = [cost(history, span, ends) for span in history.spans]
+    return {
+        "plan": plan.name,
+        "requests": len(ends),
+        "ended": totals(history, aim),
+        "checks": {name: sum(one.check == name for one in broken) for name in CHECKS},
+        "faults": [
+            {
+                "kind": one.span.kind, "at_s": round((one.span.begin - history.begin) / 1e9, 2),
+                "requests": one.requests, **one.ended, "before": round(one.before, 3),
+                "back_s": None if one.back_s is None else round(one.back_s, 2),
+            }
+            for one in costs
+        ],
+    }  # fmt: skip
+
+
+def show(history: History, plan: Plan, broken: list[Broken]) -> None:
+    """Prints what a play showed."""
+    told, console = summary(history, plan, broken), Console(width=140)
+    table = Table("fault", "at s", "requests", *ENDS, "before", "back s")
+    for one in told["faults"]:
+        back = "-" if one["back_s"] is None else f"{one['back_s']:.2f}"
+        table.add_row(
+            one["kind"], f"{one['at_s']:.1f}", str(one["requests"]), *(str(one[how]) for how in ENDS),
+            f"{one['before']:.2f}", back,
+        )  # fmt: skip
+    if told["faults"]:
+        console.print(table)
+    ended = ", ".join(f"{count} {how}" for how, count in told["ended"].items() if count)
+    click.echo(f"{plan.name}: {told['requests']} requests: {ended}")
+    for name, count in told["checks"].items():
+        click.echo(f"  {name:10} {'holds' if not count else f'broken {count} times'}")
+        for one in [one for one in broken if one.check == name][:MOST_SHOWN]:
+            click.echo(one.text(history))
--- /dev/null
+++ b/applehub/lab/fleet/draw.py
@@ -0,0 +1,137 @@
+"""Plans drawn from a seed, and plans cut small: the fewest faults that still break a rule."""
+
+from collections.abc import Awaitable, Callable
+
+from applehub.lab.fleet.plan import AnyFault, Plan, make_plan
+from applehub.lab.streams import Draws
+from applehub.settings import Json
+
+# By weight: what a drawn plan strikes with. Each gives the fault's own keys.
+KINDS: tuple[tuple[float, Callable[[Draws, int, int], Json]], ...] = (
+    (3, lambda d, r, c: {"kind": "kill", "target": [f"router-{d.below(r)}"], "for_s": d.between(0.2, 2)}),
+    (2, lambda d, r, c: {"kind": "kill", "target": [f"cache-{d.below(c)}"], "for_s": d.between(0.5, 3)}),
+    (1, lambda d, r, c: {"kind": "kill", "target": ["list"], "for_s": d.between(0.5, 4)}),
+    (1, lambda d, r, c: {"kind": "kill", "target": ["origin"], "for_s": d.between(0.2, 1)}),
+    (2, lambda d, r, c: {"kind": "term", "target": [f"router-{d.below(r)}"], "for_s": d.between(0.2, 1)}),
+    (2, lambda d, r, c: {"kind": "stop", "target": [f"router-{d.below(r)}"], "for_s": d.between(0.1, 2)}),
+    (2, lambda d, r, c: {"kind": "stop", "target": [f"cache-{d.below(c)}"], "for_s": d.between(0.2, 3)}),
+    (
+        1,
+        lambda d, r, c: {
+            "kind": "slow",
+            "target": [f"cache-{d.below(c)}"],
+            "part": d.between(0.2, 0.7),
+            "for_s": d.between(1, 4),
+        },
+    ),
+    (1, lambda d, r, c: {"kind": "hup", "target": ["router-*"]}),
+    (
+        2,
+        lambda d, r, c: {
+            "kind": "silent",
+            "edges": [f"router-*>cache-{d.below(c)}"],
+            "way": ("both", "there", "back")[d.below(3)],
+            "for_s": d.between(0.5, 4),
+        },
+    ),
+    (1, lambda d, r, c: {"kind": "silent", "edges": [f"router-{d.below(r)}>*"], "for_s": d.between(0.5, 3)}),
+    (1, lambda d, r, c: {"kind": "silent", "edges": ["*>list"], "for_s": d.between(1, 5)}),
+    (
+        2,
+        lambda d, r, c: {
+            "kind": "delay",
+            "edges": [f"router-*>cache-{d.below(c)}"],
+            "ms": d.between(5, 80),
+            "jitter_ms": 20,
+            "for_s": d.between(1, 4),
+        },
+    ),
+    (2, lambda d, r, c: {"kind": "reset", "edges": [f"router-*>cache-{d.below(c)}"]}),
+    (1, lambda d, r, c: {"kind": "reset", "edges": ["router-*>origin"]}),
+    (
+        1,
+        lambda d, r, c: {"kind": "cut", "edges": [f"router-*>cache-{d.below(c)}"], "bytes": 3000, "for_s": 2},
+    ),
+    (1, lambda d, r, c: {"kind": "pieces", "edges": [f"router-{d.below(r)}>*"], "bytes": 7, "for_s": 2}),
+    (
+        2,
+        lambda d, r, c: {
+            "kind": "errors",
+            "target": [f"cache-{d.below(c)}"],
+            "part": d.between(0.1, 1),
+            "for_s": d.between(1, 4),
+        },
+    ),
+    (1, lambda d, r, c: {"kind": "errors", "target": ["origin"], "part": 0.3, "for_s": d.between(0.5, 2)}),
+    (
+        1,
+        lambda d, r, c: {
+            "kind": "crawl",
+            "target": [f"cache-{d.below(c)}"],
+            "part": 0.2,
+            "for_s": d.between(1, 4),
+        },
+    ),
+    (2, lambda d, r, c: {"kind": "drain", "target": [f"cache-{d.below(c)}"], "for_s": d.between(1, 4)}),
+    (1, lambda d, r, c: {"kind": "gone", "target": [f"cache-{d.below(c)}"], "for_s": d.between(1, 4)}),
+    (1, lambda d, r, c: {"kind": "overload", "for_s": d.between(1, 4)}),
+    (1, lambda d, r, c: {"kind": "offline", "server": f"cache-{d.below(c)}", "for_s": d.between(1, 4)}),
+)
+
+
+def draw(seed: int, routers: int, caches: int, faults: int, seconds: float, rate: float) -> Plan:
+    """A plan with so many faults, at moments spread over the time. The same arguments give the same plan."""
+    draws, whole = Draws(seed, "plan"), sum(weight for weight, _ in KINDS)
+    drawn: list[Json] = []
+    for _ in range(faults):
+        left = draws.uniform() * whole
+        for weight, make in KINDS:
+            left -= weight
+            if left < 0:
+                drawn.append(
+                    {**make(draws, routers, caches), "at": draws.between(1.0, max(1.1, seconds - 4))}
+                )
+                break
+    drawn.sort(key=lambda one: one["at"])
+    return make_plan(
+        f"seed {seed}",
+        {
+            "name": f"seed-{seed}",
+            "fleet": {"routers": routers, "caches": caches, "zones": 2},
+            "load": {"rate": rate, "seconds": seconds, "seed": seed},
+            "faults": [_apart(one, drawn[:number]) for number, one in enumerate(drawn)],
+        },
+    )
+
+
+def _apart(fault: Json, before: list[Json]) -> Json:
+    """Two ends of one process would overlap: the later waits until the earlier is over."""
+    at = fault["at"]
+    for one in before:
+        same = set(one.get("target", [])) & set(fault.get("target", []))
+        if same or {one["kind"], fault["kind"]} == {"overload", "kill"}:
+            at = max(at, one["at"] + one.get("for_s", 0.0) + 4.5)
+    fault["at"] = at
+    return fault
+
+
+async def shrink(plan: Plan, breaks: Callable[[Plan], Awaitable[bool]], told: Callable[[str], None]) -> Plan:
+    """Takes faults away while a rule still breaks (Zeller's delta debugging): halves first, then one by one.
+
+    The result breaks a rule; without any one of its faults it did not when it was last tried."""
+    kept: list[AnyFault] = list(plan.faults)
+    parts = 2
+    while kept:
+        size = max(1, -(-len(kept) // parts))
+        for at in range(0, len(kept), size):
+            fewer = kept[:at] + kept[at + size :]
+            found = await breaks(plan.model_copy(update={"faults": fewer}))
+            told(f"{len(fewer)} of {len(plan.faults)} faults: {'still breaks' if found else 'holds'}")
+            if found:
+                kept, parts = fewer, max(2, parts - 1)
+                break
+        else:
+            if size == 1:
+                break
+            parts = min(len(kept), parts * 2)
+    return plan.model_copy(update={"faults": kept})
--- /dev/null
+++ b/applehub/lab/fleet/ground.py
@@ -0,0 +1,277 @@
+"""The ground: the processes of a plan, how they find one another, and how each starts again."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Iterable
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any
+
+from applehub.events import Event, Writer
+from applehub.lab.clock import MILLI, SECOND
+from applehub.lab.fleet.plan import Plan
+from applehub.lab.fleet.processes import Process, RouterProcess, Standin
+from applehub.settings import Json
+
+VALUE = 64  # bytes of a value
+
+
+def settings(plan: Plan) -> Json:
+    """What every router of the plan is told, as the platform words it."""
+    wait, fleet = int(plan.load.wait_ms * MILLI), plan.fleet
+    effects: tuple[tuple[str, Json], ...] = (
+        ("read", {"effect": "safe"}),
+        ("put", {"effect": "keyed", "group": "all", "repeatWindow": 2 * SECOND}),
+        ("once", {"effect": "unsafe"}),
+    )
+    return {
+        "azs": [f"zone-{number}" for number in range(fleet.zones)],
+        "hostTypes": ["cache", "origin"],
+        "balancers": fleet.routers,
+        "ceilings": {"attemptsCap": 4, "dialTimeout": SECOND // 4, "keepalive": 10 * SECOND},
+        "classes": [{"name": name, "aim": wait // 2, "deadline": wait, **more} for name, more in effects],
+        "registryMode": "on_request",
+        "safety": {
+            "askWithin": 2 * SECOND,
+            "coldFrom": fleet.cold_from,
+            "rampTime": int(fleet.ramp_s * SECOND),
+            "tipMultiple": fleet.tip_multiple,
+            "fall": int(fleet.fall_s * SECOND),
+        },
+        "specifics": {"mode": "aside", "originKind": 1},
+    }
+
+
+class Ground:
+    """The processes of one play, in a folder."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder = plan, folder
+        self.events = Writer(folder / "events-ground.jsonl", "ground", 0)
+        self.relay = Standin("relay", "relay", folder, self.events)
+        self.list = Standin("list", "list", folder, self.events)
+        self.origin = Standin("origin", "origin", folder, self.events)
+        self.clients = Standin("clients", "clients", folder, self.events)
+        self.caches = [Standin("cache", f"cache-{n}", folder, self.events) for n in range(plan.fleet.caches)]
+        self.routers = [RouterProcess(f"router-{n}", folder, self.events) for n in range(plan.fleet.routers)]
+        self.addresses: dict[str, str] = {}  # where each target really listens
+        self.edges: dict[str, str] = {}  # where each edge's source finds it
+        self.listeners: dict[str, socket.socket] = {}
+        self.listed: Json = {}  # the list service's state, as it last told
+
+    def processes(self) -> list[Process]:
+        return [*self.routers, *self.caches, self.origin, self.list, self.relay, self.clients]
+
+    def named(self, patterns: Iterable[str]) -> list[Process]:
+        """The processes that faults may strike and that a pattern names."""
+        mine = [*self.routers, *self.caches, self.origin, self.list]
+        return [one for one in mine if any(fnmatchcase(one.name, pattern) for pattern in patterns)]
+
+    def sources(self) -> dict[str, str]:
+        """By the address that it dials from: which router it is."""
+        return {f"127.{100 + n // 200}.{n % 200 + 1}.2": f"router-{n}" for n in range(len(self.routers))}
+
+    def zone(self, number: int) -> str:
+        return f"zone-{number % self.plan.fleet.zones}"
+
+    async def start(self) -> None:
+        """Starts all in order; returns once every router is ready."""
+        if self.plan.fleet.inherited:
+            for number, router in enumerate(self.routers):
+                self.listeners[router.name] = held = socket.create_server(
+                    (f"127.0.1.{number + 1}", 0), backlog=1024
+                )
+                self.addresses[router.name] = "{}:{}".format(*held.getsockname())
+        await together([self.start_cache(one, cold=False) for one in self.caches])
+        await self.start_origin()
+        self.edges = (await self.relay.start({"seed": self.plan.load.seed, "edges": self._edges()}))["ports"]
+        await self.start_list()
+        for name, address in self.addresses.items():
+            await self.relay.ask({"do": "up", "target": name, "address": address})
+        await together([self.start_router(one) for one in self.routers])
+        load = self.plan.load
+        await self.clients.start(
+            {
+                "source": "127.0.0.1",
+                "seed": load.seed,
+                "rate": load.rate,
+                "keys": load.keys,
+                "puts": load.puts,
+                "once": load.once,
+                "wait_ms": load.wait_ms,
+                "slack_ms": self.plan.rules.answer_slack_ms,
+                "value": VALUE,
+                "routers": {one.name: self.edges[f"clients>{one.name}"] for one in self.routers},
+            }
+        )
+
+    def _edges(self) -> list[Json]:
+        targets = [*(one.name for one in self.caches), "origin", "list"]
+        edges = [
+            {
+                "name": f"{router}>{target}", "target": target, "source": address,
+                "listen": address.removesuffix("2") + "1",
+            }
+            for address, router in self.sources().items() for target in targets
+        ]  # fmt: skip
+        edges += [
+            {"name": f"clients>{one.name}", "target": one.name, "source": "127.0.2.1", "listen": "127.0.3.1"}
+            for one in self.routers
+        ]
+        return edges
+
+    async def start_cache(self, cache: Process, cold: bool) -> None:
+        assert isinstance(cache, Standin)
+        fleet = self.plan.fleet
+        answer = await cache.start(
+            {
+                "sources": self.sources(),
+                "rate": fleet.cache_rate,
+                "queue": fleet.cache_queue,
+                "value": VALUE,
+                "cold": cold,
+                "cold_from": fleet.cold_from,
+                "ramp_s": fleet.ramp_s,
+                "tip_multiple": fleet.tip_multiple,
+                "fall_s": fleet.fall_s,
+            }
+        )
+        self.addresses[cache.name] = answer["address"]
+        if self.origin.running:
+            await self.origin.ask({"do": "cache", "name": cache.name, "address": answer["address"]})
+
+    async def start_origin(self) -> None:
+        fleet = self.plan.fleet
+        answer = await self.origin.start(
+            {
+                "sources": self.sources(),
+                "rate": fleet.origin_rate,
+                "queue": fleet.origin_queue,
+                "value": VALUE,
+                "ms": fleet.origin_ms,
+            }
+        )
+        self.addresses["origin"] = answer["address"]
+        for cache in self.caches:
+            if cache.running:
+                await self.origin.ask(
+                    {"do": "cache", "name": cache.name, "address": self.addresses[cache.name]}
+                )
+
+    async def start_list(self) -> None:
+        routers = [one.name for one in self.routers]
+        servers = [*(one.name for one in self.caches), "origin"]
+        fresh = {
+            "version": 1,
+            "changed": {},
+            "entries": [self._entry(n, name) for n, name in enumerate(servers)],
+        }
+        self.listed = self.listed or fresh
+        endpoints = {router: {name: self.edges[f"{router}>{name}"] for name in servers} for router in routers}
+        answer = await self.list.start(
+            {
+                **self.listed,
+                "sources": self.sources(),
+                "endpoints": endpoints,
+                "rate": self.plan.fleet.list_rate,
+            }
+        )
+        self.addresses["list"] = answer["address"]
+
+    def _entry(self, number: int, name: str) -> Json:
+        return {
+            "uid": name,
+            "az": self.zone(number),
+            "model": "origin" if name == "origin" else "cache",
+            "pod_group": 0,
+            "state": "Ready",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
+
+    async def start_router(self, router: Process) -> None:
+        """Starts a router's next incarnation, with the list as it was when the play began, and waits until it
+        is ready."""
+        assert isinstance(router, RouterProcess)
+        told = self.told(router)
+        known = told["known"]
+        states = {one["uid"]: one["state"] for one in known["targets"]}
+        self.events.say(
+            Event.TOLD, router=router.name, version=known["rev"], whole=True, start=True, states=states
+        )
+        inherited = self.listeners.get(router.name)
+        await router.start(told, self.shim(), None if inherited is None else inherited.fileno())
+        if inherited is None:
+            self.addresses[router.name] = router.listen
+            await self.up(router)
+        if not await router.ready():
+            self.events.say(Event.UNDONE, fault=-1, why=f"{router.name} was never ready")
+
+    def told(self, router: RouterProcess) -> Json:
+        """The configuration of a router."""
+        fleet, number = self.plan.fleet, self.routers.index(router)
+        servers = [*(one.name for one in self.caches), "origin"]
+        targets = [
+            {**self._entry(n, name), "endpoint": self.edges[f"{router.name}>{name}"]}
+            for n, name in enumerate(servers)
+        ]
+        return {
+            "name": router.name,
+            "listen": f"127.0.1.{number + 1}:0",
+            "discovery": self.edges[f"{router.name}>list"],
+            "seed": f"{self.plan.load.seed * 1000 + number * 50 + router.incarnation:x}",
+            "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
+            "known": {"rev": 1, "all": True, "targets": targets},
+            "settings": settings(self.plan),
+        }
+
+    def shim(self) -> Json | None:
+        """What is spoilt round the routers, where this plan spoils any of it."""
+        kinds = {one.kind for one in self.plan.faults}
+        if self.plan.fleet.variant or kinds & {"clock", "power", "full", "readonly", "slow_disk"}:
+            return {"variant": self.plan.fleet.variant}
+        return None
+
+    async def up(self, process: Process) -> None:
+        await self.relay.ask({"do": "up", "target": process.name, "address": self.addresses[process.name]})
+
+    async def down(self, process: Process) -> None:
+        await self.relay.ask({"do": "down", "target": process.name})
+
+    async def restart(self, process: Process) -> None:
+        """Starts again what was ended, as the platform does: from nothing, under its name."""
+        if isinstance(process, RouterProcess):
+            await self.start_router(process)
+        elif process is self.list:
+            await self.start_list()
+        elif process is self.origin:
+            await self.start_origin()
+        else:
+            boot = time.time_ns() // MILLI
+            await self.start_cache(process, cold=True)
+            await self.list_state(process.name, {"boot_ms": boot, "state": "Ready"})
+        await self.up(process)
+
+    async def list_state(self, server: str, entry: Json) -> None:
+        if self.list.running:
+            self.listed = await self.list.ask({"do": "state", "server": server, "entry": entry})
+        else:  # it learns of it at its own start
+            self.listed["version"] += 1
+            self.listed["changed"][server] = self.listed["version"]
+            next(one for one in self.listed["entries"] if one["uid"] == server).update(entry)
+
+    async def stop(self) -> None:
+        """Ends every process, whatever state it is in."""
+        await together([one.close() for one in self.processes() if one.running])
+        for listener in self.listeners.values():
+            listener.close()
+        self.events.close()
+
+
+async def together(tasks: list[Any]) -> None:
+    """Waits for all; the first failure is raised once all have ended."""
+    done = await asyncio.gather(*tasks, return_exceptions=True)
+    for one in done:
+        if isinstance(one, BaseException):
+            raise one
--- /dev/null
+++ b/applehub/lab/fleet/history.py
@@ -0,0 +1,87 @@
+"""What happened: the events of all processes in one order, and the spans in which each fault struck."""
+
+from dataclasses import dataclass, field
+from fnmatch import fnmatchcase
+from pathlib import Path
+
+from applehub.events import Event, Record, read
+
+NEVER = 1 << 62
+
+
+@dataclass(slots=True)
+class Span:
+    """A fault while it struck, ns of the monotonic clock."""
+
+    number: int
+    kind: str
+    processes: frozenset[str]
+    edges: tuple[str, ...]  # patterns
+    begin: int
+    end: int = NEVER
+
+    def strikes(self, begin: int, end: int, process: str = "", edge: str = "") -> bool:
+        """Whether it struck a process or an edge at some moment of that time."""
+        if self.begin > end or self.end < begin:
+            return False
+        return process in self.processes or (edge != "" and any(fnmatchcase(edge, one) for one in self.edges))
+
+
+@dataclass(slots=True)
+class Life:
+    """One incarnation of a process, ns of the monotonic clock."""
+
+    name: str
+    number: int
+    begin: int
+    ready: int = NEVER
+    end: int = NEVER
+
+
+@dataclass(slots=True)
+class History:
+    """All of a play."""
+
+    records: list[Record]
+    spans: list[Span] = field(default_factory=list)
+    lives: dict[str, list[Life]] = field(default_factory=dict)
+    begin: int = 0
+
+    def struck(self, begin: int, end: int, process: str = "", edge: str = "") -> list[Span]:
+        return [one for one in self.spans if one.strikes(begin, end, process, edge)]
+
+    def of(self, *events: Event) -> list[Record]:
+        return [one for one in self.records if one.event in events]
+
+
+def gather(folder: Path) -> History:
+    """Merges the events of all processes below a folder, in the order of the clock that they share."""
+    records = [one for path in sorted(folder.rglob("events*.jsonl")) for one in read(path)]
+    return ordered(records)
+
+
+def ordered(records: list[Record]) -> History:
+    records = sorted(records, key=lambda one: one.mono)
+    history = History(records, begin=records[0].mono if records else 0)
+    spans: dict[int, Span] = {}
+    for one in records:
+        more = one.more
+        match one.event:
+            case Event.FAULT:
+                spans[more["fault"]] = Span(
+                    more["fault"], more["kind"], frozenset(more["processes"]), tuple(more["edges"]), one.mono
+                )
+            case Event.HEALED:
+                spans[more["fault"]].end = one.mono
+            case Event.STARTED:
+                lives = history.lives.setdefault(more["of"], [])
+                lives.append(Life(more["of"], more["number"], one.mono))
+            case Event.READY | Event.EXITED:
+                for life in history.lives.get(more["of"], []):
+                    if life.number == more["number"]:
+                        if one.event is Event.READY:
+                            life.ready = one.mono
+                        else:
+                            life.end = one.mono
+    history.spans = list(spans.values())
+    return history
--- /dev/null
+++ b/applehub/lab/fleet/plan.py
@@ -0,0 +1,206 @@
+"""A plan: which processes run, what is asked of them, what goes wrong when, and what must hold all the
+same."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import Field, ValidationError, model_validator
+
+from applehub.events import Event
+from applehub.lab.spec import Part, SpecError, problems_of
+
+Positive = Annotated[float, Field(gt=0)]
+NotNegative = Annotated[float, Field(ge=0)]
+Part01 = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=1)]
+Patterns = Annotated[list[str], Field(min_length=1)]
+
+
+class Fleet(Part):
+    """The processes."""
+
+    routers: Annotated[int, Field(ge=1, le=60)] = 3
+    caches: Annotated[int, Field(ge=1, le=60)] = 3
+    zones: Annotated[int, Field(ge=1, le=8)] = 1
+    inherited: bool = False  # the ground holds the listening sockets, as the platform does for upgrades
+    variant: str = ""  # a known-bad variant of the router, see variants.py
+    memory_mb: Count = 192
+    sockets: Annotated[int, Field(ge=64)] = 1024
+    cache_rate: Positive = 400.0  # requests a second that a warm cache server bears
+    cache_queue: Count = 200
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 0.12
+    ramp_s: Positive = 24.0
+    tip_multiple: Positive = 2.5
+    fall_s: Positive = 2.0
+    origin_rate: Positive = 150.0
+    origin_ms: NotNegative = 20.0
+    origin_queue: Count = 60
+    list_rate: Positive = 500.0  # calls a second that the list service bears
+
+
+class Load(Part):
+    """Open loop: what is asked waits for no answer."""
+
+    rate: Annotated[float, Field(gt=0, le=5000)] = 100.0
+    seconds: Annotated[float, Field(gt=0, le=3600)] = 10.0  # at least; it goes on until all faults are over
+    most_s: Annotated[float, Field(gt=0, le=3600)] = 120.0
+    after_s: NotNegative = 2.0  # past the last fault
+    keys: Count = 500
+    puts: Part01 = 0.03
+    once: Part01 = 0.02
+    wait_ms: Annotated[int, Field(ge=10, le=60_000)] = 1000
+    seed: Annotated[int, Field(ge=0)] = 1
+
+
+class Rules(Part):
+    """Bounds that the checks hold the fleet to."""
+
+    answer_slack_ms: NotNegative = 500.0
+    drain_slack_ms: NotNegative = 550.0
+    by_hand_slack_ms: NotNegative = 1050.0
+    stale_ms: Positive = 3000.0  # from a change of the list until each router is told
+    keyed_window_ms: Positive = 2050.0
+
+
+class Trigger(Part):
+    """A moment: the count-th event of a kind, counted since the trigger was armed."""
+
+    event: Event
+    process: str = "*"
+    count: Count = 1
+    match: dict[str, Any] = Field(default={})  # fields and the values they must have
+
+
+class Fault(Part):
+    """What every fault has: when it begins (`at`: s of the load; or `on` an event) and when it ends."""
+
+    at: NotNegative | None = None
+    on: Trigger | None = None
+    for_s: NotNegative | None = None
+    until: Trigger | None = None
+
+    @model_validator(mode="after")
+    def _one_moment(self) -> "Fault":
+        if (self.at is None) == (self.on is None):
+            raise ValueError("expected either at or on")
+        if self.for_s is not None and self.until is not None:
+            raise ValueError("expected for_s or until, not both")
+        return self
+
+
+class Process(Fault):
+    """Strikes processes, by patterns of their names (`router-*`).
+
+    kill: SIGKILL, and a new start at the end. term: SIGTERM, SIGKILL as the platform does, then a new start.
+    stop: SIGSTOP until the end. slow: runs for `part` of the time only. upgrade: a new process takes over.
+    power: SIGKILL, and the disk goes back to what was synced. hup: SIGHUP with the file as it is."""
+
+    kind: Literal["kill", "term", "stop", "slow", "upgrade", "power", "hup"]
+    target: Patterns
+    part: Annotated[float, Field(gt=0, lt=1)] = 0.3
+    keep_disk: bool = True
+
+
+class Link(Fault):
+    """Strikes edges, by patterns of their names (`router-1>cache-*`, `clients>router-2`, `*>list`).
+
+    silent: open connections carry nothing (`way`: both, there, back) and new ones never come up. delay: `ms`
+    and up to `jitter_ms` more. reset: open connections are reset. cut: each connection is reset past `bytes`
+    of answers. rate: at most `bytes` a second each way. pieces: what is carried arrives in pieces of
+    `bytes`."""
+
+    kind: Literal["silent", "delay", "reset", "cut", "rate", "pieces"]
+    edges: Patterns
+    way: Literal["both", "there", "back"] = "both"
+    ms: NotNegative = 100.0
+    jitter_ms: NotNegative = 0.0
+    bytes: Count = 4096
+
+
+class Server(Fault):
+    """Strikes cache servers or the origin inside. errors: fails `part`. crawl: its speed falls to `part`."""
+
+    kind: Literal["errors", "crawl"]
+    target: Patterns
+    part: Annotated[float, Field(gt=0, le=1)] = 0.5
+
+
+class Listing(Fault):
+    """Changes the list (drain, gone; ready again at the end), or overloads the list service (it answers
+    503)."""
+
+    kind: Literal["drain", "gone", "overload"]
+    target: list[str] = Field(default=[])
+
+    @model_validator(mode="after")
+    def _needs_servers(self) -> "Listing":
+        if (self.kind == "overload") == bool(self.target):
+            raise ValueError("expected a target with drain and gone, and none with overload")
+        return self
+
+
+class ByHand(Fault):
+    """An operator's call out for cache server `server` at the routers; the call back at the end."""
+
+    kind: Literal["offline"]
+    target: Patterns = Field(default=["router-*"])
+    server: str
+
+
+class Clock(Fault):
+    """The wall clock of routers goes off by `step_s`, and back at the end."""
+
+    kind: Literal["clock"]
+    target: Patterns
+    step_s: float
+
+
+class Disk(Fault):
+    """Writes of routers fail: full (ENOSPC), readonly (EROFS); slow: each sync takes `ms`."""
+
+    kind: Literal["full", "readonly", "slow_disk"]
+    target: Patterns
+    ms: NotNegative = 200.0
+
+
+AnyFault = Annotated[Process | Link | Server | Listing | ByHand | Clock | Disk, Field(discriminator="kind")]
+
+
+class Plan(Part):
+    """A whole plan."""
+
+    name: Annotated[str, Field(min_length=1)]
+    about: str = ""
+    fleet: Fleet = Fleet()
+    load: Load = Load()
+    rules: Rules = Rules()
+    faults: list[AnyFault] = Field(default=[])
+
+    @model_validator(mode="after")
+    def _makes_sense(self) -> "Plan":
+        if self.load.puts + self.load.once > 1:
+            raise ValueError("expected puts and once to be at most 1 together")
+        for number, fault in enumerate(self.faults):
+            if fault.kind == "upgrade" and not self.fleet.inherited:
+                raise ValueError(f"faults.{number}: expected fleet.inherited with an upgrade")
+        return self
+
+
+def make_plan(name: str, raw: dict[str, Any]) -> Plan:
+    """Checks what a file holds. Raises SpecError, a line for each fault."""
+    try:
+        return Plan.model_validate(raw)
+    except ValidationError as error:
+        raise SpecError(problems_of(name, error)) from None
+
+
+def load_plan(path: Path) -> Plan:
+    """Reads a plan's file. Raises SpecError."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise SpecError(f"{path}: {problem.strerror or problem}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise SpecError(f"{path}: not TOML: {problem}") from None
+    return make_plan(str(path), raw)
--- /dev/null
+++ b/applehub/lab/fleet/variants.py
@@ -0,0 +1,160 @@
+"""Known-bad variants of the router, patched into its process at its start: each breaks one rule, and a check
+that does not find it counts for nothing. Part of none but the ground."""
+
+import asyncio
+import os
+from collections.abc import Callable
+from typing import Any
+
+from applehub import interface as api
+from applehub import settings
+from applehub.node import resp
+from applehub.node.discovery import Directory, Watch
+from applehub.node.driver import Driver, Held
+from applehub.node.figures import Answered
+from applehub.node.shared import Shared, Told
+from applehub.settings import Json
+
+EVERY = 20  # requests, of which one is spoilt
+
+
+def _spoil_answers(spoil: Callable[[Driver, Held, bytes, Answered, Any], None]) -> None:
+    """Every so many answers go through `spoil`, which gets the right way to answer too."""
+    right, count = Driver._answer, 0
+
+    def answer(self: Driver, held: Held, answer: bytes, how: Answered) -> None:
+        nonlocal count
+        count += 1
+        if count % EVERY:
+            right(self, held, answer, how)
+        else:
+            spoil(self, held, answer, how, right)
+
+    Driver._answer = answer  # type: ignore[method-assign]
+
+
+def loses() -> None:
+    """Forgets some answers."""
+    _spoil_answers(lambda self, held, answer, how, right: self._close(held))
+
+
+def answers_twice() -> None:
+    """Gives some answers and then another one."""
+    _spoil_answers(lambda self, held, answer, how, right: right(self, held, answer + resp.FAILED, how))
+
+
+def answers_late() -> None:
+    """Holds some answers back until their time is over."""
+
+    def late(self: Driver, held: Held, answer: bytes, how: Answered, right: Any) -> None:
+        self._close(held)
+        wait = (held.call.wait or 0) / 1000 + 3600
+        asyncio.get_running_loop().call_later(wait, right, self, held, answer, how)
+
+    _spoil_answers(late)
+
+
+def resends() -> None:
+    """Takes every class for one that is safe to repeat."""
+    right = settings.read_settings
+
+    def read(info: Json) -> api.Settings:
+        told = right(info)
+        for one in told.classes:
+            one.effect = api.Effect.SAFE
+        return told
+
+    settings.read_settings = read
+
+
+def warms_at_once() -> None:
+    """Takes a cold server for a warm one."""
+    right = settings.read_settings
+
+    def read(info: Json) -> api.Settings:
+        told = right(info)
+        told.cold_from, told.ramp_time = 1.0, 0
+        return told
+
+    settings.read_settings = read
+
+
+def ignores_drains() -> None:
+    """Goes on with a server that is draining."""
+    right = Directory._target
+
+    def target(self: Directory, entry: Json) -> Any:
+        return right(self, {**entry, "state": "Ready"} if entry.get("state") == "Terminating" else entry)
+
+    Directory._target = target  # type: ignore[method-assign]
+
+
+def goes_back() -> None:
+    """Forgets which version of the list it holds, each second time that it hears of one."""
+    right, heard = Directory.take, 0
+
+    def take(self: Directory, answer: Any, cached: bool = False) -> bool:
+        nonlocal heard
+        known = right(self, answer, cached)
+        heard += self.rev > 1
+        if self.rev > 1 and heard % 2 == 0:
+            self.rev = 1
+        return known
+
+    Directory.take = take  # type: ignore[method-assign]
+
+
+def goes_deaf() -> None:
+    """Asks for the list once, and never again."""
+    right = Watch._call
+
+    async def call(self: Watch) -> None:
+        if self.directory.rev > 0 and self.line is not None:
+            await asyncio.Event().wait()
+        await right(self)
+
+    Watch._call = call  # type: ignore[method-assign]
+
+
+def forgets_calls() -> None:
+    """Says yes to an operator's call and keeps it in memory alone."""
+
+    def say(self: Shared, server: str, out: bool) -> dict[str, Told]:
+        return {server: Told(out, 1)}
+
+    Shared.say = say  # type: ignore[method-assign]
+
+
+def leaks() -> None:
+    """Leaves a descriptor open for each request."""
+    right = Driver.take
+
+    def take(self: Driver, *more: Any) -> Any:
+        os.open(os.devnull, os.O_RDONLY)
+        return right(self, *more)
+
+    Driver.take = take  # type: ignore[method-assign,assignment]
+
+
+def crashes() -> None:
+    """Ends in the midst of its service."""
+    _spoil_answers(lambda self, held, answer, how, right: os._exit(3))
+
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    "loses": loses,
+    "answers-twice": answers_twice,
+    "answers-late": answers_late,
+    "resends": resends,
+    "warms-at-once": warms_at_once,
+    "ignores-drains": ignores_drains,
+    "goes-back": goes_back,
+    "goes-deaf": goes_deaf,
+    "forgets-calls": forgets_calls,
+    "leaks": leaks,
+    "crashes": crashes,
+}
+
+
+def install(name: str) -> None:
+    VARIANTS[name]()
--- a/applehub/lab/live/standins.py
+++ b/applehub/lab/live/standins.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from multiprocessing.connection import Connection
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 from urllib.parse import parse_qs, urlsplit
 
 import h11
@@ -22,6 +22,14 @@
 MISS = b"*3\r\n$-1\r\n" + bulk(b"miss") + bulk(REPORT)
 
 
+class Reply(NamedTuple):
+    """An answer over HTTP."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+
 @dataclass(slots=True)
 class Counts:
     """What the stand-ins have seen."""
@@ -81,29 +89,29 @@
         if len(kept) > MOST_KEPT:
             del kept[next(iter(kept))]
 
-    async def origin(self, request: h11.Request, body: bytes) -> tuple[int, bytes]:
+    async def origin(self, request: h11.Request, body: bytes) -> Reply:
         """Answers a read with the value, and stores it where the request missed; a write with a receipt."""
         key = request.target[1:]
         if request.method == b"PUT":
             self.counts.writes += 1
             for kept in self.stores:
                 kept.pop(key, None)
-            return 200, b"stored"
+            return Reply(200, b"stored")
         self.counts.reads += 1
         identity = next((value for name, value in request.headers if name == b"x-call-id"), b"")
         cache = self.missed.pop(identity, None)
         if cache is not None:
             self.store(cache, key)
-        return 200, self.value
+        return Reply(200, self.value)
 
-    async def registry(self, request: h11.Request, body: bytes) -> tuple[int, bytes]:
+    async def registry(self, request: h11.Request, body: bytes) -> Reply:
         """The whole list; a watch waits as long as it may, since nothing changes here."""
         self.counts.lists += 1
         asked = parse_qs(urlsplit(request.target.decode()).query)
         if "from" not in asked:
-            return 200, orjson.dumps({"rev": 1, "all": True, "targets": self.targets()})
+            return Reply(200, orjson.dumps({"rev": 1, "all": True, "targets": self.targets()}))
         await asyncio.sleep(min(60.0, int(asked.get("hold_ms", ["0"])[0]) / 1000))
-        return 200, orjson.dumps({"rev": 1, "all": False, "targets": []})
+        return Reply(200, orjson.dumps({"rev": 1, "all": False, "targets": []}))
 
 
 class Cache(asyncio.Protocol):
@@ -142,7 +150,7 @@
 class HttpPeer(asyncio.Protocol):
     """A connection of HTTP/1.1, one request at a time."""
 
-    def __init__(self, handle: Callable[[h11.Request, bytes], Awaitable[tuple[int, bytes]]]) -> None:
+    def __init__(self, handle: Callable[[h11.Request, bytes], Awaitable[Reply]]) -> None:
         self.handle = handle
         self.http = h11.Connection(h11.SERVER)
         self.transport: asyncio.Transport | None = None
@@ -181,9 +189,10 @@
 
     async def _reply(self) -> None:
         assert self.request is not None
-        status, body = await self.handle(self.request, bytes(self.body))
-        head = h11.Response(status_code=status, headers=[("Content-Length", str(len(body)))])
-        events = (head, h11.Data(data=body), h11.EndOfMessage())
+        reply = await self.handle(self.request, bytes(self.body))
+        headers = [("Content-Length", str(len(reply.body))), *reply.headers]
+        head = h11.Response(status_code=reply.status, headers=headers)
+        events = (head, h11.Data(data=reply.body), h11.EndOfMessage())
         answer = b"".join(self.http.send(event) or b"" for event in events)
         self.task = None
         if self.transport is None:
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -408,7 +408,7 @@
     sweep: dict[str, Annotated[list[Any], Field(min_length=1)]] = {}
 
 
-def _problems(path: str, error: ValidationError) -> str:
+def problems_of(path: str, error: ValidationError) -> str:
     lines = []
     for one in error.errors():
         key = ".".join(str(step) for step in one["loc"]) or "the whole"
@@ -436,7 +436,7 @@
     try:
         whole = Experiment.model_validate(raw)
     except ValidationError as error:
-        raise SpecError(_problems(name, error)) from None
+        raise SpecError(problems_of(name, error)) from None
     points: list[tuple[Json, Day]] = []
     day = {key: value for key, value in raw.items() if key in Day.model_fields}
     for values in itertools.product(*whole.sweep.values()):
@@ -447,7 +447,7 @@
                 _set(one, key, value)
             points.append((point, Day.model_validate(one)))
         except ValidationError as error:
-            raise SpecError(_problems(f"{name}: sweep {point}", error)) from None
+            raise SpecError(problems_of(f"{name}: sweep {point}", error)) from None
         except (LookupError, TypeError, ValueError, AttributeError):
             raise SpecError(f"{name}: sweep {point}: expected the dotted path of a setting") from None
     return whole, points
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,174 @@
+"""The proving ground: processes of the program, faults between them, and checks that find what is bad.
+
+Every wait of the plans is on an event; their bounds in time are far past what the busiest machine needs."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import orjson
+import psutil
+import pytest
+from click.testing import CliRunner
+
+from applehub.events import Event, EventError, Record, Writer, parse, read
+from applehub.lab.__main__ import main
+from applehub.lab.fleet.checks import judge
+from applehub.lab.fleet.draw import draw, shrink
+from applehub.lab.fleet.history import ordered
+from applehub.lab.fleet.plan import Plan, make_plan
+from applehub.lab.fleet.processes import environment
+from applehub.lab.spec import SpecError
+
+FINDS = {
+    "loses": "answered",
+    "answers-twice": "answered",
+    "resends": "resends",
+    "ignores-drains": "drained",
+    "forgets-calls": "by_hand",
+    "goes-back": "versions",
+    "goes-deaf": "stale",
+    "leaks": "limits",
+    "crashes": "standing",
+}
+
+
+def play(*words: str) -> tuple[int, dict[str, int], str]:
+    """Plays on the ground in a process of its own; gives its code, the broken rules by check, what it
+    said."""
+    command = [sys.executable, "-m", "applehub.lab", "fleet", *words, "--json"]
+    done = subprocess.run(command, env=environment(), capture_output=True, text=True, timeout=300)
+    told = orjson.loads(done.stdout) if done.stdout else {"checks": {}}
+    return done.returncode, {name: count for name, count in told["checks"].items() if count}, done.stderr
+
+
+def test_a_good_router_holds_and_each_bad_variant_is_found() -> None:
+    plays = [("--quick",), ("variants",), *(("variants", "--variant", name) for name in FINDS)]
+    with ThreadPoolExecutor(6) as pool:
+        found = dict(zip(plays, pool.map(lambda words: play(*words), plays), strict=True))
+    for words in plays[:2]:
+        assert found[words][:2] == (0, {}), found[words]
+    for name, check in FINDS.items():
+        code, broken, said = found["variants", "--variant", name]
+        assert code == 1 and check in broken, (name, broken, said)
+
+
+def test_nothing_is_left_where_the_ground_is_killed(tmp_path: Path) -> None:
+    words = [sys.executable, "-m", "applehub.lab", "fleet", "--seed", "1", "--routers", "2", "--caches", "1"]
+    env = environment(TMPDIR=str(tmp_path))
+    ground = subprocess.Popen(words, env=env, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        me = psutil.Process(ground.pid)
+        while not list(tmp_path.glob("ground-*/clients/events-1.jsonl")):  # the clients are started last
+            assert ground.poll() is None
+            psutil.wait_procs([], timeout=0.05)
+        children = me.children(recursive=True)
+        assert len(children) >= 7
+        ports = {one.laddr for child in children for one in child.net_connections() if one.status == "LISTEN"}
+    finally:
+        ground.kill()
+        ground.wait()
+    _, alive = psutil.wait_procs(children, timeout=60)
+    assert not alive and not list(tmp_path.iterdir())
+    for host, port in ports:
+        with socket.socket() as one:
+            assert one.connect_ex((host, port)) != 0
+
+
+def event(at: float, what: Event, request: str = "", /, **more: object) -> Record:
+    return Record(int(at * 1e9), 0, "test", 0, what, request, more)
+
+
+ASKED = {"router": "router-0", "cls": "read", "key": "k", "wait_ms": 1000}
+SENT = {"router": "router-0", "server": "cache-0", "cls": "once"}
+
+
+@pytest.mark.parametrize(
+    ("fault", "excused"),
+    [("kill", True), ("stop", True), ("upgrade", False), ("term", False), ("hup", False)],
+)
+def test_a_lost_request_is_excused_by_the_faults_that_the_rules_name(fault: str, excused: bool) -> None:
+    struck = {"fault": 0, "kind": fault, "processes": ["router-0"], "edges": [], "keep_disk": True}
+    records = [
+        event(1.0, Event.FAULT, **struck),
+        event(1.1, Event.ASKED, "r", **ASKED),
+        event(1.2, Event.CLOSED, "r", router="router-0"),
+        event(1.3, Event.HEALED, fault=0),
+    ]
+    broken = judge(ordered(records), Plan(name="p"))
+    assert [one.check for one in broken] == ([] if excused else ["answered"])
+    other = [event(3.0, Event.ASKED, "s", **ASKED), event(3.1, Event.CLOSED, "s", router="router-0")]
+    (found,) = judge(ordered([*records[:1], records[3], *other]), Plan(name="p"))
+    assert found.text(ordered(records)).count("\n") == 4  # the fault's two events, then the request's
+
+
+@pytest.mark.parametrize(
+    ("how", "breaks"), [("full", False), ("miss", False), ("failed", True), ("left", True)]
+)
+def test_what_may_have_run_must_not_be_sent_again(how: str, breaks: bool) -> None:
+    records = [
+        event(1.0, Event.ATTEMPT, "r", **SENT),
+        event(1.1, Event.ENDED, "r", how=how, **SENT),
+        event(1.2, Event.ATTEMPT, "r", **{**SENT, "server": "origin"}),
+    ]
+    told = event(
+        0.5,
+        Event.TOLD,
+        router="router-0",
+        version=1,
+        whole=True,
+        states={"cache-0": "Ready", "origin": "Ready"},
+    )
+    broken = judge(ordered([told, *records]), Plan(name="p"))
+    assert [one.check for one in broken] == (["resends"] if breaks else [])
+
+
+def test_events_survive_a_torn_end_and_nothing_else(tmp_path: Path) -> None:
+    writer = Writer(tmp_path / "events.jsonl", "me", 2)
+    writer.say(Event.READY, address="here")
+    writer.close()
+    with open(tmp_path / "events.jsonl", "ab") as file:
+        file.write(b'{"mono":1,"wa')
+    (one,) = read(tmp_path / "events.jsonl")
+    assert (one.process, one.incarnation, one.event, one.more["address"]) == ("me", 2, "ready", "here")
+    with pytest.raises(EventError):
+        parse(b'{"mono":1,"wall":1,"process":"a","incarnation":1,"event":"sneezed"}')
+
+
+def test_a_plan_of_no_use_tells_every_fault_of_it() -> None:
+    raw = {"name": "p", "fleet": {"routers": 0}, "faults": [{"kind": "kill", "target": []}, {"kind": "melt"}]}
+    with pytest.raises(SpecError) as told:
+        make_plan("p.toml", raw)
+    lines = str(told.value).splitlines()
+    assert len(lines) == 3 and all(line.startswith("p.toml: ") for line in lines)
+    assert CliRunner().invoke(main, ["fleet", "nowhere.toml"]).exit_code == 2
+
+
+async def test_shrinking_keeps_the_faults_that_matter() -> None:
+    plan = draw(3, 5, 5, 12, 30.0, 100.0)
+    assert plan == draw(3, 5, 5, 12, 30.0, 100.0) and len(plan.faults) == 12
+    wanted = [plan.faults[2], plan.faults[9]]
+
+    async def breaks(one: Plan) -> bool:
+        return all(fault in one.faults for fault in wanted)
+
+    small = await shrink(plan, breaks, lambda _: None)
+    assert small.faults == wanted
+
+
+def test_the_ground_ends_by_itself_when_told_to() -> None:
+    """SIGINT, as a person would: code 130, and no process left."""
+    words = [sys.executable, "-m", "applehub.lab", "fleet", "--quick"]
+    ground = subprocess.Popen(words, env=environment(), stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    me = psutil.Process(ground.pid)
+    while len(children := me.children(recursive=True)) < 7:
+        assert ground.poll() is None
+        psutil.wait_procs([], timeout=0.05)
+    os.kill(ground.pid, signal.SIGINT)
+    assert ground.wait(60) == 130
+    _, alive = psutil.wait_procs(children, timeout=60)
+    assert not alive
