Add the list service: versions, leases, watches, three replicas, checked as a model

Need: discovery was an outside thing, met by a stand-in in memory; the operators want it through a service of the project's own that survives crashes and changes of primary.

Change: applehub/registry: Raft with leases and trial votes as a pure state machine, a model checker with five mutants, the list as a state machine, leases with a brake, a checksummed SQLite store, HTTP for routers and for writers, metrics. Its extras are in requirements-registry.txt; `run` imports none of it. Also the first table of what each fault costs today's router (docs/findings/faults.md), and loopback addresses of its own for each ground.

--- a/applehub/events.py
+++ b/applehub/events.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 import orjson
 import structlog
@@ -37,6 +37,11 @@
     LISTED = "listed"  # version, server, state: a change of the list
     LIST_ASKED = "list_asked"  # router, since: the version that the caller holds, or none
     TOLD = "told"  # router, version, states: written to the router
+    LEADS = "leads"  # term: a replica of the list service became primary
+    FOLLOWS = "follows"  # term: it is primary no longer
+    BRAKE = "brake"  # on: whether so many leases ran out at once that none is taken for gone
+    RELOADED = "reloaded"  # taken; why not
+    DAMAGED = "damaged"  # why: what is on the disk can't be used
     CALL = "call"  # router, words, answer: an operator's call
 
 
@@ -77,8 +82,8 @@
 class Writer:
     """Writes one process's events. Each line is handed to the system at once, so that SIGKILL loses none."""
 
-    def __init__(self, path: Path, process: str, incarnation: int) -> None:
-        self._file = open(path, "ab")  # noqa: SIM115 (until it is closed)
+    def __init__(self, where: Path | BinaryIO, process: str, incarnation: int) -> None:
+        self._file = open(where, "ab") if isinstance(where, Path) else where  # noqa: SIM115 (until it is closed)
         self._log: Any = structlog.wrap_logger(
             structlog.BytesLogger(self._file),
             processors=[_stamped, _rendered],
--- a/applehub/lab/fleet/commands.py
+++ b/applehub/lab/fleet/commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from importlib import resources
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 
 from applehub.lab.fleet.checks import CHECKS, Broken, judge
 from applehub.lab.fleet.draw import draw, shrink
+from applehub.lab.fleet.ground import together
 from applehub.lab.fleet.history import History, gather
 from applehub.lab.fleet.plan import Plan, load_plan
 from applehub.lab.fleet.play import run
@@ -106,6 +108,75 @@
     sys.exit(1 if broken else 0)
 
 
+@click.command("faults")
+@click.argument("file", default="faults")
+@click.option("--plays", type=click.IntRange(1, 50), default=3, help="Of each fault, on seeds 1, 2, ...")
+@click.option("--jobs", type=click.IntRange(1, 16), default=4, help="Plays at once.")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="Results as JSON lines.")
+@guarded
+def each_fault(file: str, plays: int, jobs: int, out: Path | None) -> None:
+    """Plays every fault of a plan alone and tables what it cost; goes on where an --out file was cut off."""
+    plan = find(file)
+    done: dict[tuple[str, int], Json] = {}
+    if out is not None and out.exists():
+        done = {(one["fault"], one["seed"]): one for one in map(orjson.loads, out.read_bytes().splitlines())}
+    wanted = [(number, seed) for number in range(len(plan.faults)) for seed in range(1, plays + 1)]
+    wanted = [one for one in wanted if (called(plan, one[0]), one[1]) not in done]
+
+    def told(record: Json) -> None:
+        done[record["fault"], record["seed"]] = record
+        if out is not None:
+            with open(out, "ab") as file:
+                file.write(orjson.dumps(record) + b"\n")
+        click.echo(f"{record['fault']}, seed {record['seed']}: {record['broken'] or 'holds'}", err=True)
+
+    asyncio.run(_alone(plan, wanted, jobs, told))
+    names = dict.fromkeys(called(plan, number) for number in range(len(plan.faults)))
+    click.echo("| fault | plays | lost | refused | failed | late | of | back s | rules broken |")
+    click.echo("|---|---|---|---|---|---|---|---|---|")
+    for name in names:
+        click.echo(row(name, [one for (fault, _), one in done.items() if fault == name]))
+    sys.exit(1 if any(one["broken"] for one in done.values()) else 0)
+
+
+def called(plan: Plan, number: int) -> str:
+    """What a table calls a fault of a plan."""
+    return plan.faults[number].name or f"{number} {plan.faults[number].kind}"
+
+
+async def _alone(plan: Plan, wanted: list[tuple[int, int]], jobs: int, told: Callable[[Json], None]) -> None:
+    free = asyncio.Semaphore(jobs)
+
+    async def one(number: int, seed: int) -> None:
+        load = plan.load.model_copy(update={"seed": seed})
+        alone = plan.model_copy(update={"faults": [plan.faults[number]], "load": load})
+        async with free:
+            history = await run(alone)
+        said = summary(history, alone, broken := judge(history, alone))
+        checks = {check: count for check, count in said["checks"].items() if count}
+        for found in broken[:2]:
+            click.echo(found.text(history), err=True)
+        told({"fault": called(plan, number), "seed": seed, "broken": checks, **said["faults"][0]})
+
+    await together([one(number, seed) for number, seed in wanted])
+
+
+def row(name: str, plays: list[Json]) -> str:
+    """A line of the table: means over plays, and the range of the seconds until service was back."""
+
+    def mean(*keys: str) -> str:
+        return f"{sum(one[key] for one in plays for key in keys) / len(plays):.1f}"
+
+    backs = sorted(one["back_s"] for one in plays if one["back_s"] is not None)
+    back = "-" if not backs else f"{backs[0]:.2f} to {backs[-1]:.2f}"
+    if len(backs) < len(plays):
+        back += f", {len(plays) - len(backs)} not"
+    broken = ", ".join(sorted({check for one in plays for check in one["broken"]})) or "none"
+    lost = mean("closed", "gave_up", "unreached")
+    cells = [name, str(len(plays)), lost, mean("refused"), mean("failed"), mean("late"), mean("requests")]
+    return f"| {' | '.join(cells)} | {back} | {broken} |"
+
+
 def summary(history: History, plan: Plan, broken: list[Broken]) -> Json:
     """All that `show` tells."""
     aim = plan.load.wait_ms / 2
--- a/applehub/lab/fleet/faults.py
+++ b/applehub/lab/fleet/faults.py
@@ -10,6 +10,7 @@
 from applehub.events import Event
 from applehub.lab.fleet import plan as spec
 from applehub.lab.fleet.processes import Process, RouterProcess, Standin
+from applehub.lab.fleet.rule import Rule
 from applehub.lab.fleet.shim import restore
 
 if TYPE_CHECKING:
@@ -146,10 +147,7 @@
         if fault.kind == "reset":
             await self.ground.relay.ask({"do": "reset", "edges": fault.edges})
             return
-        rule = {
-            "kind": fault.kind, "way": fault.way, "ms": fault.ms, "jitter_ms": fault.jitter_ms,
-            "bytes": fault.bytes,
-        }  # fmt: skip
+        rule = {name: getattr(fault, name) for name in Rule.__slots__}
         await self.ground.relay.ask({"do": "rule", "id": self.number, "edges": fault.edges, "rule": rule})
 
     async def end(self) -> None:
--- a/applehub/lab/fleet/ground.py
+++ b/applehub/lab/fleet/ground.py
@@ -12,9 +12,14 @@
 from applehub.lab.clock import MILLI, SECOND
 from applehub.lab.fleet.plan import Plan
 from applehub.lab.fleet.processes import Process, RouterProcess, Standin
+from applehub.lab.live.bench import LiveError
 from applehub.settings import Json
 
 VALUE = 64  # bytes of a value
+BLOCKS, CLAIM = (
+    range(100, 250),
+    20_000,
+)  # second numbers of loopback addresses; a port under those the system deals
 
 
 def settings(plan: Plan) -> Json:
@@ -43,6 +48,21 @@
     }
 
 
+def claim_block() -> tuple[str, socket.socket]:
+    """Loopback addresses that no other ground of this machine binds meanwhile: the first two numbers of
+    theirs, and the socket that holds the claim. An edge that is shut keeps its port only where nobody else
+    asks for any."""
+    for block in BLOCKS:
+        held = socket.socket()
+        try:
+            held.bind((f"127.{block}.255.254", CLAIM))
+        except OSError:
+            held.close()
+            continue
+        return f"127.{block}", held
+    raise LiveError(f"{len(BLOCKS)} grounds are at work on this machine")
+
+
 class Ground:
     """The processes of one play, in a folder."""
 
@@ -58,6 +78,7 @@
         self.addresses: dict[str, str] = {}  # where each target really listens
         self.edges: dict[str, str] = {}  # where each edge's source finds it
         self.listeners: dict[str, socket.socket] = {}
+        self.block, self.claim = claim_block()
         self.listed: Json = {}  # the list service's state, as it last told
 
     def processes(self) -> list[Process]:
@@ -70,7 +91,7 @@
 
     def sources(self) -> dict[str, str]:
         """By the address that it dials from: which router it is."""
-        return {f"127.{100 + n // 200}.{n % 200 + 1}.2": f"router-{n}" for n in range(len(self.routers))}
+        return {f"{self.block}.{n + 1}.2": f"router-{n}" for n in range(len(self.routers))}
 
     def zone(self, number: int) -> str:
         return f"zone-{number % self.plan.fleet.zones}"
@@ -80,7 +101,7 @@
         if self.plan.fleet.inherited:
             for number, router in enumerate(self.routers):
                 self.listeners[router.name] = held = socket.create_server(
-                    (f"127.0.1.{number + 1}", 0), backlog=1024
+                    (f"{self.block}.201.{number + 1}", 0), backlog=1024
                 )
                 self.addresses[router.name] = "{}:{}".format(*held.getsockname())
         await together([self.start_cache(one, cold=False) for one in self.caches])
@@ -93,7 +114,7 @@
         load = self.plan.load
         await self.clients.start(
             {
-                "source": "127.0.0.1",
+                "source": f"{self.block}.200.3",
                 "seed": load.seed,
                 "rate": load.rate,
                 "keys": load.keys,
@@ -116,7 +137,12 @@
             for address, router in self.sources().items() for target in targets
         ]  # fmt: skip
         edges += [
-            {"name": f"clients>{one.name}", "target": one.name, "source": "127.0.2.1", "listen": "127.0.3.1"}
+            {
+                "name": f"clients>{one.name}",
+                "target": one.name,
+                "source": f"{self.block}.200.2",
+                "listen": f"{self.block}.200.1",
+            }
             for one in self.routers
         ]
         return edges
@@ -218,7 +244,7 @@
         ]
         return {
             "name": router.name,
-            "listen": f"127.0.1.{number + 1}:0",
+            "listen": f"{self.block}.201.{number + 1}:0",
             "discovery": self.edges[f"{router.name}>list"],
             "seed": f"{self.plan.load.seed * 1000 + number * 50 + router.incarnation:x}",
             "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
@@ -229,7 +255,7 @@
     def shim(self) -> Json | None:
         """What is spoilt round the routers, where this plan spoils any of it."""
         kinds = {one.kind for one in self.plan.faults}
-        if self.plan.fleet.variant or kinds & {"clock", "power", "full", "readonly", "slow_disk"}:
+        if self.plan.fleet.variant or kinds & {"clock", "power", "full", "readonly", "torn", "slow_disk"}:
             return {"variant": self.plan.fleet.variant}
         return None
 
@@ -264,7 +290,7 @@
     async def stop(self) -> None:
         """Ends every process, whatever state it is in."""
         await together([one.close() for one in self.processes() if one.running])
-        for listener in self.listeners.values():
+        for listener in (*self.listeners.values(), self.claim):
             listener.close()
         self.events.close()
 
--- a/applehub/lab/fleet/plan.py
+++ b/applehub/lab/fleet/plan.py
@@ -75,6 +75,7 @@
 class Fault(Part):
     """What every fault has: when it begins (`at`: s of the load; or `on` an event) and when it ends."""
 
+    name: str = ""
     at: NotNegative | None = None
     on: Trigger | None = None
     for_s: NotNegative | None = None
@@ -107,15 +108,17 @@
 
     silent: open connections carry nothing (`way`: both, there, back) and new ones never come up. delay: `ms`
     and up to `jitter_ms` more. reset: open connections are reset. cut: each connection is reset past `bytes`
-    of answers. rate: at most `bytes` a second each way. pieces: what is carried arrives in pieces of
-    `bytes`."""
+    of answers. rate: at most `bytes` a second each way. pieces: what is carried arrives in pieces of `bytes`.
+    To datagrams alone, a `part` of them: lose, double, short (cut at any byte), swap (goes after the
+    next)."""
 
-    kind: Literal["silent", "delay", "reset", "cut", "rate", "pieces"]
+    kind: Literal["silent", "delay", "reset", "cut", "rate", "pieces", "lose", "double", "short", "swap"]
     edges: Patterns
     way: Literal["both", "there", "back"] = "both"
     ms: NotNegative = 100.0
     jitter_ms: NotNegative = 0.0
     bytes: Count = 4096
+    part: Annotated[float, Field(gt=0, le=1)] = 1.0
 
 
 class Server(Fault):
@@ -157,9 +160,10 @@
 
 
 class Disk(Fault):
-    """Writes of routers fail: full (ENOSPC), readonly (EROFS); slow: each sync takes `ms`."""
+    """Writes of routers fail: full (ENOSPC), readonly (EROFS), torn (half of what is
+    written, then ENOSPC). slow_disk: each sync takes `ms`."""
 
-    kind: Literal["full", "readonly", "slow_disk"]
+    kind: Literal["full", "readonly", "torn", "slow_disk"]
     target: Patterns
     ms: NotNegative = 200.0
 
--- a/applehub/lab/fleet/relay.py
+++ b/applehub/lab/fleet/relay.py
@@ -15,26 +15,14 @@
 from typing import cast
 
 from applehub.lab.fleet.control import Handler, Json
+from applehub.lab.fleet.datagrams import DatagramEdge
+from applehub.lab.fleet.rule import Rule
 from applehub.node.discovery import read_endpoint
 
 QUEUE = 512
 AT_ONCE = struct.pack("ii", 1, 0)  # SO_LINGER: the close is a reset
 
 
-@dataclass(slots=True)
-class Rule:
-    """What one fault does to an edge."""
-
-    kind: str
-    way: str = "both"
-    ms: float = 0.0
-    jitter_ms: float = 0.0
-    bytes: int = 0
-
-    def strikes(self, back: bool) -> bool:
-        return self.way == "both" or (self.way == "back") is back
-
-
 class Half(asyncio.Protocol):
     """One of the two connections that the relay holds for one of an edge."""
 
@@ -260,8 +248,8 @@
 class Relay:
     """All edges of a play."""
 
-    def __init__(self, told: Json) -> None:
-        self.edges = [Edge(**one, seed=told["seed"]) for one in told["edges"]]
+    def __init__(self, edges: list[Edge | DatagramEdge]) -> None:
+        self.edges = edges
         for edge in self.edges:  # only now: none is given the port of one that is shut until its target is up
             edge.settle()
 
@@ -273,7 +261,7 @@
                 for edge in self.edges:
                     if edge.target == told["target"]:
                         edge.upstream = read_endpoint(told["address"]) if told["do"] == "up" else None
-                        if edge.upstream is None and not told.get("silent"):
+                        if edge.upstream is None:
                             edge.reset()
                         edge.settle()
             case "rule":
@@ -289,10 +277,13 @@
                     edge.reset()
         return {}
 
-    def _named(self, patterns: list[str]) -> list[Edge]:
+    def _named(self, patterns: list[str]) -> list[Edge | DatagramEdge]:
         return [edge for edge in self.edges if any(fnmatchcase(edge.name, one) for one in patterns)]
 
 
 async def begin(told: Json) -> tuple[Json, Handler]:
-    relay = Relay(told)
+    edges: list[Edge | DatagramEdge] = [Edge(**one, seed=told["seed"]) for one in told["edges"]]
+    for one in told.get("datagrams", []):
+        edges.append(await DatagramEdge.opened(**one, seed=told["seed"]))
+    relay = Relay(edges)
     return {"ports": {edge.name: f"{edge.listen}:{edge.port}" for edge in relay.edges}}, relay.command
--- a/applehub/lab/fleet/shim.py
+++ b/applehub/lab/fleet/shim.py
@@ -6,6 +6,7 @@
 
 import builtins
 import errno
+import io
 import os
 import runpy
 import shutil
@@ -50,6 +51,8 @@
             failure = {"full": errno.ENOSPC, "readonly": errno.EROFS}.get(said[0] if said else "")
             if failure is not None:
                 raise OSError(failure, os.strerror(failure), str(file))
+            if said and said[0] == "torn" and "b" in mode:
+                return Torn(str(file), mode)
         return self.open(file, mode, *more, **named)
 
     def _ours(self, path: str) -> bool:
@@ -87,6 +90,17 @@
         os.rename(beside, self.durable)
 
 
+class Torn(io.FileIO):
+    """A file of which the disk takes half of a write, and then is full."""
+
+    def __init__(self, path: str, mode: str) -> None:
+        super().__init__(path, mode.replace("b", ""))
+
+    def write(self, data: Any) -> int:
+        super().write(bytes(data)[: len(data) // 2])
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
 def restore(disk: Path, durable: Path) -> None:
     """A power loss: the disk holds what was synced, and nothing else."""
     if not durable.exists():  # ended between the two renames
--- /dev/null
+++ b/applehub/registry/config.py
@@ -0,0 +1,126 @@
+"""What a replica of the list service is told: a TOML file, checked whole."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+
+from applehub.node.discovery import ListError, read_endpoint
+
+Positive = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(ge=1)]
+
+
+class ConfigError(ValueError):
+    """The file is of no use; a line for each fault names file, key and expectation."""
+
+
+class Part(BaseModel):
+    """A table of the file: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class Timing(Part):
+    """Of the agreement. The lease must be shorter than the least time of an election, by what clocks drift
+    apart."""
+
+    heartbeat_ms: Positive = 50.0
+    election_ms: Positive = 500.0
+    lease_ms: Positive = 400.0
+
+    @model_validator(mode="after")
+    def _in_order(self) -> "Timing":
+        if not 2 * self.heartbeat_ms <= self.lease_ms < self.election_ms:
+            raise ValueError("expected 2 * heartbeat_ms <= lease_ms < election_ms")
+        return self
+
+
+class Leases(Part):
+    """Of the servers that register themselves."""
+
+    brake_part: Annotated[float, Field(gt=0, le=1)] = 0.3
+    brake_least: Count = 2
+    look_ms: Positive = 200.0
+
+
+class Limits(Part):
+    """What one replica bears."""
+
+    callers: Count = 5000  # connections of routers at once
+    whole_a_second: Positive = 400.0  # whole lists; those past it wait their turn
+    patience_ms: Positive = 1000.0  # for a turn; who would wait longer is told when to come again
+    slow_s: Positive = 10.0  # for a caller to take its answer
+    stale_ms: Positive = 2000.0  # a follower that has not heard from the primary for longer serves no more
+    changes: Count = 10_000  # kept for those behind
+    compact: Count = 2000  # entries of the log, before it is cut
+
+
+class Config(Part):
+    """All of it."""
+
+    name: Annotated[str, Field(min_length=1)]
+    state_dir: Path
+    listen: str = "127.0.0.1:0"  # for routers
+    staff: str = "127.0.0.1:0"  # for writers, staff and metrics
+    peers: dict[str, str] = Field(default={})  # of the whole group by name, this one's listening address too
+    views: dict[str, str] = Field(
+        default={}
+    )  # by a caller's address, which of an entry's endpoints it is told
+    log_calls: bool = False
+    timing: Timing = Timing()
+    leases: Leases = Leases()
+    limits: Limits = Limits()
+
+    @field_validator("listen", "staff")
+    @classmethod
+    def _address(cls, told: str) -> str:
+        _endpoint(told)
+        return told
+
+    @field_validator("peers")
+    @classmethod
+    def _addresses(cls, told: dict[str, str]) -> dict[str, str]:
+        for address in told.values():
+            _endpoint(address)
+        return told
+
+    @model_validator(mode="after")
+    def _in_group(self) -> "Config":
+        if self.peers and self.name not in self.peers:
+            raise ValueError(f"expected {self.name!r} (its name) among the peers")
+        if self.peers and len(self.peers) % 2 == 0:
+            raise ValueError("expected an odd number of peers")
+        return self
+
+
+def _endpoint(told: str) -> None:
+    try:
+        read_endpoint(told)
+    except ListError:
+        raise ValueError(f"expected HOST:PORT, got {told!r}") from None
+
+
+def parse(name: str, raw: dict[str, Any]) -> Config:
+    """Checks what a file holds. Raises ConfigError."""
+    try:
+        return Config.model_validate(raw)
+    except ValidationError as error:
+        lines = []
+        for one in error.errors():
+            key = ".".join(map(str, one["loc"])) or "the whole"
+            got = "" if one["type"] in ("missing", "value_error") else f", got {one['input']!r}"
+            lines.append(f"{name}: {key}: {one['msg']}{got}")
+        raise ConfigError("\n".join(lines)) from None
+
+
+def load(path: Path) -> Config:
+    """Reads a file. Raises ConfigError."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as problem:
+        raise ConfigError(f"{path}: {problem.strerror or problem}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise ConfigError(f"{path}: not TOML: {problem}") from None
+    return parse(str(path), raw)
