Sync an operator's call before its yes, so that it holds over a loss of power

Cause: node/shared.py wrote the calls aside and renamed them, but synced neither the file nor its folder, so the disk kept nothing of an acknowledged call.

Change: both are synced before the call is answered.

--- a/applehub/node/shared.py
+++ b/applehub/node/shared.py
@@ -53,7 +53,14 @@
             beside = self.file + ".new"
             with open(beside, "wb") as file:
                 file.write(orjson.dumps({name: [one.out, one.at] for name, one in told.items()}))
+                file.flush()
+                os.fsync(file.fileno())
             os.replace(beside, self.file)
+            folder = os.open(os.path.dirname(self.file), os.O_RDONLY)
+            try:
+                os.fsync(folder)  # the name, too: a yes that is given holds over a power loss
+            finally:
+                os.close(folder)
         return told
 
     def changed(self) -> dict[str, Told] | None:
