Let a router ask the list service at several addresses

Need: the list service has three replicas, and a router knew one address.

Change: `discoveries` in the configuration names further ones. A router begins at one that its seed draws, turns to the next at once when a call fails or no connection comes up within 0.5 s, and goes on from the version it holds; the decisions hear of a failure only when all have failed in a row. With one address, as before.

Measured: by test alone (two addresses, an older list, a failure of both; starts spread over both).

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -53,7 +53,7 @@
     """What the router is told at its start."""
 
     listen: Endpoint
-    discovery: Endpoint
+    discovery: list[Endpoint]  # the one that the platform tells, then others that serve the same list
     console: Endpoint | None
     inherited: int | None  # the descriptor of a listening socket that the platform holds
     seed: int
@@ -97,7 +97,7 @@
             )
         return Configuration(
             read_endpoint(told.get("listen")),
-            read_endpoint(told.get("discovery")),
+            read_discovery(told),
             read_endpoint(console) if console else None,
             None if inherited is None else int(inherited),
             int(str(told.get("seed") or "0"), 16),
@@ -115,6 +115,14 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
+def read_discovery(told: Json) -> list[Endpoint]:
+    """`discovery`, and `discoveries` where the list service has further addresses. Raises ListError."""
+    further = told.get("discoveries") or []
+    if not isinstance(further, list):
+        raise ListError(f"discoveries: expected a list of addresses, got {further!r}")
+    return list(dict.fromkeys(map(read_endpoint, [told.get("discovery"), *further])))
+
+
 def room_for_values(memory: int, copies: int = 1) -> int:
     """The bytes that may wait, by the limit in MB: half of what the program itself leaves, since some
     stand in two buffers for a moment. Copies share the limit."""
@@ -203,7 +211,7 @@
             log.error("told to reload, but the configuration is of no use: %s", problem)
             return
         self.figures.config_applied += 1
-        log.info("told to reload: discovery at %s:%d", *told.discovery)
+        log.info("told to reload: discovery at %s:%d", *told.discovery[0])
         self._retune(told)
         self.watch.move(told.discovery)
 
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -19,6 +19,7 @@
 
 HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
 PATIENCE = 2.0  # s for an answer that need not wait
+DIAL = 0.5  # s for a connection, where there is another address to turn to
 FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
 MOST_LIST = 8 << 20
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
@@ -199,11 +200,16 @@
 
 
 class Watch:
-    """Asks discovery for the list and then for what changes, one call right after the other."""
+    """Asks discovery for the list and then for what changes, one call right after the other.
 
-    def __init__(self, endpoint: Endpoint, directory: Directory, seed: int, must_ask: bool) -> None:
-        self.endpoint, self.directory, self.must_ask = endpoint, directory, must_ask
+    Where discovery has several addresses, each router begins at one that its seed draws, so that they spread,
+    and turns to the next at once when a call fails; only when all have failed is that a failure. The version
+    goes along: what changed meanwhile is told by the next address, and an older version changes nothing."""
+
+    def __init__(self, endpoints: list[Endpoint], directory: Directory, seed: int, must_ask: bool) -> None:
+        self.endpoints, self.directory, self.must_ask = endpoints, directory, must_ask
         self.random = random.Random(seed)
+        self.at = self.random.randrange(len(endpoints)) if len(endpoints) > 1 else 0
         self.line: _Line | None = None
         self.task: asyncio.Task[None] | None = None
         self.unread = False  # the last answer could not be taken up: changes may be missing
@@ -213,11 +219,11 @@
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self._run())
 
-    def move(self, endpoint: Endpoint) -> None:
+    def move(self, endpoints: list[Endpoint]) -> None:
         """Discovery is elsewhere from now on: a watch that is on begins anew there, at once."""
-        if endpoint == self.endpoint:
+        if endpoints == self.endpoints:
             return
-        self.endpoint = endpoint
+        self.endpoints, self.at = endpoints, self.at % len(endpoints)
         if self.task is not None:
             self.stop()
             self.task = None
@@ -230,11 +236,11 @@
             self.line.close()
 
     async def _run(self) -> None:
-        pause = FIRST_PAUSE
+        pause, failed = FIRST_PAUSE, 0
         while True:
             try:
                 await self._call()
-                pause = FIRST_PAUSE
+                pause, failed = FIRST_PAUSE, 0
                 continue
             except (OSError, TimeoutError, HttpError, ListError, orjson.JSONDecodeError) as problem:
                 log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
@@ -242,10 +248,14 @@
                 log.exception("an answer of discovery could not be taken up")
             if self.line is not None:
                 self.line.close()
+            failed += 1
+            self.at = (self.at + 1) % len(self.endpoints)
+            if failed % len(self.endpoints):
+                continue
             if self.must_ask:
                 # Here the decisions say when to ask again; told once this watch has ended.
-                failed = api.Members(api.ListKind.FAILED, [])
-                asyncio.get_running_loop().call_soon(self.directory.tell, failed)
+                told = api.Members(api.ListKind.FAILED, [])
+                asyncio.get_running_loop().call_soon(self.directory.tell, told)
                 return
             await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
             pause = min(2 * pause, MOST_PAUSE)
@@ -268,7 +278,8 @@
 
     async def _connected(self) -> _Line:
         if self.line is None or self.line.transport is None:
-            host, port = self.endpoint
+            host, port = self.endpoints[self.at]
             loop = asyncio.get_running_loop()
-            _, self.line = await loop.create_connection(lambda: _Line(f"{host}:{port}"), host, port)
+            async with asyncio.timeout(DIAL if len(self.endpoints) > 1 else None):
+                _, self.line = await loop.create_connection(lambda: _Line(f"{host}:{port}"), host, port)
         return self.line
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -139,7 +139,7 @@
     await web.start()
     one, told = directory()
     host, _, port = web.address.partition(":")
-    watch = Watch((host, int(port)), one, 1, must_ask=False)
+    watch = Watch([(host, int(port))], one, 1, must_ask=False)
     watch.start()
     await soon(lambda: one.rev == 10 and len(web.got) > 8)
     targets = [asked[1] for asked in web.got[:9]]
@@ -156,12 +156,36 @@
     await web.stop()
 
 
+async def test_the_next_address_is_asked_at_once_and_goes_on_from_the_version_held() -> None:
+    c0, c1 = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1")
+    answers = {"first": [whole_list(7, c0)], "second": [whole_list(6, c1), whole_list(8, c1, whole=False)]}
+    webs = {
+        name: Web(lambda asked, line, of=of: of.pop(0) if of else http(503)) for name, of in answers.items()
+    }
+    for web in webs.values():
+        await web.start()
+    one, told = directory()
+    endpoints = [discovery.read_endpoint(web.address) for web in webs.values()]
+    watch = Watch(endpoints, one, 1, must_ask=True)
+    watch.at = 0
+    watch.start()
+    await soon(lambda: told and told[-1].kind is api.ListKind.FAILED)  # only once both have failed in a row
+    assert one.rev == 8 and set(one.targets) == {"c0", "c1"}  # the second's older list changed nothing
+    assert [event.kind for event in told] == [api.ListKind.FULL, api.ListKind.DELTA, api.ListKind.FAILED]
+    assert [asked[1] for asked in webs["second"].got][:2] == [b"/api/targets?from=7&hold_ms=5000"] * 2
+    spread = {Watch(endpoints, one, seed, must_ask=True).at for seed in range(20)}
+    assert spread == {0, 1}
+    watch.stop()
+    for web in webs.values():
+        await web.stop()
+
+
 async def test_where_lists_are_asked_for_a_failure_is_told_to_the_decisions() -> None:
     web = Web(lambda asked, line: http(503))
     await web.start()
     one, told = directory()
     host, _, port = web.address.partition(":")
-    watch = Watch((host, int(port)), one, 1, must_ask=True)
+    watch = Watch([(host, int(port))], one, 1, must_ask=True)
     watch.start()
     await soon(lambda: told)
     assert told[0].kind is api.ListKind.FAILED and len(web.got) == 1
@@ -180,7 +204,7 @@
     one, told = directory()
     one.take(listing(41, entry("c0", "127.0.0.1:1")), cached=True)
     host, _, port = web.address.partition(":")
-    watch = Watch((host, int(port)), one, 1, must_ask=True)
+    watch = Watch([(host, int(port))], one, 1, must_ask=True)
     for failures in (1, 2, 3):
         watch.start()
         await soon(lambda n=failures: len(web.got) == n)  # type: ignore[misc]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -81,13 +81,13 @@
 async def test_nothing_is_taken_from_a_broken_file(tmp_path: Path, change: Callable[[Json], None]) -> None:
     path = tmp_path / "config.json"
     running = wired(path)
-    before = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoint)
+    before = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoints)
     broken = copy.deepcopy(told(discovery="127.0.0.1:2"))
     broken["settings"]["classes"][0]["aim"] //= 2
     change(broken)
     path.write_text(json.dumps(broken))
     running.reload()
-    now = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoint)
+    now = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoints)
     assert all(one is other for one, other in zip(before, now, strict=True))
     assert (running.figures.config_applied, running.figures.config_rejected) == (0, 1)
 
@@ -120,7 +120,7 @@
     assert running.clients.names.classes == {"once": 0, "browse": 1, "read": 2}
     now = running.driver.balancer.settings
     assert [one.effect for one in now.classes] == [api.Effect.UNSAFE] * 3
-    assert (now.max_attempts, running.pools.most, running.watch.endpoint[1]) == (2, 48, 2)
+    assert (now.max_attempts, running.pools.most, running.watch.endpoints[0][1]) == (2, 48, 2)
     # Servers that are known carry their kinds' indexes: those stay, and new ones come behind them.
     assert running.directory.names.kinds == {"std": 0, "origin": 1, "new": 2}
     assert running.directory.origin_kind == now.origin_kind == 1
