Measure the list service with many watchers; let a group of one commit

Need: the service's figures at 1,000 servers and 2,000 watchers, beside the stand-in on the same work.

Cause of the mend: a replica without peers never committed, since only an answer of a peer led to it (found by the first measurement with one replica, which waited 60 s for a primary).

Change: `lab lists`; a proposal counts the replica's own disk; datagram edges of the relay have their test.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -17,7 +17,7 @@
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
-from applehub.lab.fleet.commands import each_fault, fleet, judge_again
+from applehub.lab.fleet.commands import each_fault, fleet, judge_again, list_scale
 from applehub.lab.live.commands import demo, load
 from applehub.lab.policies import BLIND
 from applehub.lab.problems import guarded
@@ -345,6 +345,7 @@
 main.add_command(fleet)
 main.add_command(judge_again)
 main.add_command(each_fault)
+main.add_command(list_scale)
 
 if __name__ == "__main__":
     main()
--- a/applehub/lab/fleet/commands.py
+++ b/applehub/lab/fleet/commands.py
@@ -1,6 +1,7 @@
 """The lab's command `fleet`: plays plans on the proving ground."""
 
 import asyncio
+import resource
 import sys
 from collections.abc import Callable
 from importlib import resources
@@ -11,6 +12,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from applehub.lab.fleet import scale
 from applehub.lab.fleet.checks import CHECKS, Broken, judge
 from applehub.lab.fleet.draw import draw, shrink
 from applehub.lab.fleet.ground import together
@@ -139,6 +141,19 @@
     sys.exit(1 if any(one["broken"] for one in done.values()) else 0)
 
 
+@click.command("lists")
+@click.option("--servers", type=click.IntRange(1, 5000), default=1000)
+@click.option("--watchers", type=click.IntRange(1, 4000), default=2000)
+@click.option("--changes", type=click.IntRange(2, 2000), default=50)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@guarded
+def list_scale(servers: int, watchers: int, changes: int, as_json: bool) -> None:
+    """Measures the list service with many watchers, beside its stand-in on the same work."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
+    rows = asyncio.run(scale.run(servers, watchers, changes))
+    click.echo(scale.as_json(rows) if as_json else scale.shown(rows))
+
+
 def called(plan: Plan, number: int) -> str:
     """What a table calls a fault of a plan."""
     return plan.faults[number].name or f"{number} {plan.faults[number].kind}"
--- a/applehub/lab/fleet/listing.py
+++ b/applehub/lab/fleet/listing.py
@@ -29,11 +29,11 @@
         self.news = asyncio.Event()
 
     async def command(self, told: Json) -> Json:
-        """state: a server's entry changes (a new start too, with boot_ms). overload: 503 to all, or no
+        """state, touch: a server's entry changes (a new start too, with boot_ms). overload: 503 to all, or no
         more."""
         if told["do"] == "overload":
             self.overloaded = told["on"]
-        elif told["do"] == "state":
+        elif told["do"] in ("state", "touch"):
             self.version += 1
             for name, value in told["entry"].items():
                 self.entries[told["server"]][name] = value
@@ -42,6 +42,8 @@
             self.events.say(Event.LISTED, version=self.version, server=told["server"], state=state)
             news, self.news = self.news, asyncio.Event()
             news.set()
+        if told["do"] == "touch":  # its caller keeps no copy of the state
+            return {"version": self.version}
         return {"version": self.version, "changed": self.changed, "entries": list(self.entries.values())}
 
     def peer(self) -> HttpPeer:
--- a/applehub/registry/raft.py
+++ b/applehub/registry/raft.py
@@ -354,6 +354,7 @@
         self._save(out, first, entries)
         for name in self.peers:
             self._append(name, out)
+        self._advance(out)  # in a group of one, its own disk is the majority
 
     def _append(self, name: int, out: list[Action]) -> None:
         peer = self.peers[name]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 Every wait of the plans is on an event; their bounds in time are far past what the busiest machine needs."""
 
+import asyncio
 import os
 import signal
 import socket
@@ -17,12 +18,14 @@
 
 from applehub.events import Event, EventError, Record, Writer, parse, read
 from applehub.lab.__main__ import main
+from applehub.lab.fleet import relay
 from applehub.lab.fleet.checks import judge
 from applehub.lab.fleet.draw import draw, shrink
 from applehub.lab.fleet.history import ordered
 from applehub.lab.fleet.plan import Plan, make_plan
 from applehub.lab.fleet.processes import environment
 from applehub.lab.spec import SpecError
+from applehub.node.discovery import read_endpoint
 
 FINDS = {
     "loses": "answered",
@@ -47,7 +50,13 @@
 
 
 def test_a_good_router_holds_and_each_bad_variant_is_found() -> None:
-    plays = [("--quick",), ("variants",), ("power",), ("primary",), *(("variants", "--variant", name) for name in FINDS)]
+    plays = [
+        ("--quick",),
+        ("variants",),
+        ("power",),
+        ("primary",),
+        *(("variants", "--variant", name) for name in FINDS),
+    ]
     with ThreadPoolExecutor(6) as pool:
         found = dict(zip(plays, pool.map(lambda words: play(*words), plays), strict=True))
     for words in plays[:4]:
@@ -127,6 +136,51 @@
     assert [one.check for one in broken] == (["resends"] if breaks else [])
 
 
+class Ear(asyncio.DatagramProtocol):
+    """Keeps the datagrams that came."""
+
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self.heard.append(data)
+
+
+async def test_datagrams_are_lost_doubled_cut_and_swapped_as_a_rule_tells() -> None:
+    loop, ear = asyncio.get_running_loop(), Ear()
+    told = {"name": "a>b", "target": "b", "listen": "127.0.0.1", "source": "127.0.0.1"}
+    answer, handle = await relay.begin({"seed": 1, "edges": [], "datagrams": [told]})
+    target, _ = await loop.create_datagram_endpoint(lambda: ear, local_addr=("127.0.0.1", 0))
+    address = "{}:{}".format(*target.get_extra_info("sockname"))
+    source, _ = await loop.create_datagram_endpoint(Ear, remote_addr=read_endpoint(answer["ports"]["a>b"]))
+
+    async def heard(kind: str, *sent: bytes, want: int) -> list[bytes]:
+        """What comes of some datagrams under a rule, and of a last one without it that tells the end."""
+        await handle({"do": "rule", "id": 1, "edges": ["a>*"], "rule": {"kind": kind}})
+        for one in sent:
+            source.sendto(one)
+        async with asyncio.timeout(60):
+            while len(ear.heard) < want:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05 if kind == "lose" else 0)  # what is lost would come before the last
+            await handle({"do": "heal", "id": 1})
+            source.sendto(b"last")
+            while b"last" not in ear.heard:
+                await asyncio.sleep(0.01)
+        found = [one for one in ear.heard if one != b"last"]
+        ear.heard.clear()
+        return found
+
+    await handle({"do": "up", "target": "b", "address": address})
+    assert await heard("lose", b"1", b"2", want=0) == []
+    assert await heard("double", b"1", want=2) == [b"1", b"1"]
+    assert await heard("swap", b"1", b"2", want=2) == [b"2", b"1"]
+    (short,) = await heard("short", b"12345678", want=1)
+    assert len(short) < 8 and b"12345678".startswith(short)
+    for one in (source, target):
+        one.close()
+
+
 def test_events_survive_a_torn_end_and_nothing_else(tmp_path: Path) -> None:
     writer = Writer(tmp_path / "events.jsonl", "me", 2)
     writer.say(Event.READY, address="here")
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -13,7 +13,9 @@
 import aiohttp
 import orjson
 import pytest
+from click.testing import CliRunner
 
+from applehub.lab.__main__ import main
 from applehub.lab.fleet.ground import claim_block
 from applehub.lab.fleet.processes import environment
 from applehub.registry import raft, wire
@@ -55,6 +57,18 @@
     assert walks(Fine(Replica, deep, holds_back=False), 200, 150).broken
 
 
+def test_a_group_of_one_agrees_with_itself_once_its_disk_has_it() -> None:
+    alone = Replica(0, (0,), raft.Timing(), 0)
+    alone.due = 0
+    elected = alone.handle(1, raft.Tick(0.5))
+    assert alone.is_primary(1)
+    actions = alone.handle(2, raft.Propose((b"x", b"y")))
+    assert [type(one).__name__ for one in elected + actions] == [
+        "Save", "Proposed", "Save", "Apply", "Proposed", "Save", "Apply", "Apply",
+    ]  # fmt: skip
+    assert alone.commit == 3
+
+
 def put(uid: str, **more: Any) -> bytes:
     told = {
         "do": "put", "uid": uid, "fields": {"endpoint": "127.0.0.1:1"}, "endpoints": {}, "state": "Ready",
@@ -200,6 +214,15 @@
         assert key in said
 
 
+def test_watchers_hear_of_every_change_from_the_service_and_from_its_stand_in() -> None:
+    words = ["lists", "--servers", "5", "--watchers", "12", "--changes", "4", "--json"]
+    result = CliRunner().invoke(main, words)
+    assert result.exit_code == 0, result.output
+    rows = orjson.loads(result.output)
+    assert [one["what"] for one in rows] == ["the stand-in", "one replica", "three replicas"]
+    assert all(one["together"] > 0 and 0 < one["told_p50"] <= one["told_p99"] for one in rows)
+
+
 class Group:
     """Three replicas as processes."""
 
