Redraw the lab's imports: parts know nothing of the world that puts them together

Need: nine files of the lab imported one another in a circle (account, clients, faults, origin, policies, routers, rules, servers, world), for types or at run time.

Change: what clients want and their tries stand in files of their own (demand, tries); each part is handed what it uses; servers and the oracle name by protocols what they need of others; the world no longer plans its faults, a play does. Drawn plans of processes can have the list service's replicas.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -17,14 +17,14 @@
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
+from applehub.lab.demand import demand_of
 from applehub.lab.fleet.commands import each_fault, fleet, judge_again, list_scale
 from applehub.lab.live.commands import demo, load
+from applehub.lab.play import stage
 from applehub.lab.policies import BLIND
 from applehub.lab.problems import guarded
-from applehub.lab.routers import demand_of
 from applehub.lab.runner import Plan, ResultsError, make_plan, read_results, run_plan
 from applehub.lab.spec import SpecError
-from applehub.lab.world import World
 from applehub.settings import Json
 
 LEAST_SHOWN = 0.001  # of the worth: causes that cost every policy less are summed
@@ -253,7 +253,7 @@
         raise ResultsError(f"{request}: expected the id of a request, 16 hex digits") from None
     if point >= len(plan.points):
         raise ResultsError(f"--point {point}: expected a number under {len(plan.points)}")
-    world = World(
+    world = stage(
         plan.points[point][1],
         policy or plan.experiment.policies[0],
         plan.experiment.seeds.first if seed is None else seed,
@@ -306,7 +306,7 @@
         except ValueError:
             raise SpecError(f"--sizes: expected sizes as in 5x15,20x60, got {size!r}") from None
         raw = {"name": "speed", "seconds": seconds, "topology": {"routers": routers, "servers": servers}}
-        world = World(make_plan("--sizes", raw).points[0][1], "router", 1)
+        world = stage(make_plan("--sizes", raw).points[0][1], "router", 1)
         began = time.process_time()
         result = world.play()
         took = time.process_time() - began
--- a/applehub/lab/account.py
+++ b/applehub/lab/account.py
@@ -1,17 +1,17 @@
 """What a play was worth: the share of worth served, prices, and what became of the rest, by cause."""
 
 from collections import Counter
-from typing import TYPE_CHECKING
 
 from applehub import interface as api
-from applehub.lab.clock import MILLI, SECOND
+from applehub.lab.clock import MILLI, SECOND, Clock
+from applehub.lab.demand import Demand, try_id
+from applehub.lab.discovery import Registry
 from applehub.lab.origin import OriginServer
-from applehub.lab.routers import Asked, Demand, Place, try_id
+from applehub.lab.servers import CacheServer
+from applehub.lab.spec import Day
+from applehub.lab.tries import Asked, Place
 from applehub.settings import Json
 
-if TYPE_CHECKING:
-    from applehub.lab.world import World
-
 DIGITS = 5
 
 
@@ -22,9 +22,10 @@
 class Account:
     """One play's book. Worth is counted by work: a class's worth, times work over its class's mean."""
 
-    def __init__(self, world: "World") -> None:
-        self.world = world
-        classes = world.day.workload.classes
+    def __init__(self, day: Day, aims: list[int], clock: Clock) -> None:
+        """aims: of each class, ns."""
+        self.day, self.aims, self.clock = day, aims, clock
+        classes = day.workload.classes
         self.by_class = [[0.0, 0.0] for _ in classes]  # asked, served
         self.by_second: list[list[float]] = []
         self.causes: dict[str, float] = {}  # worth lost
@@ -47,9 +48,9 @@
 
     def served(self, demand: Demand) -> None:
         demand.over = True
-        took = self.world.clock.now - demand.born
+        took = self.clock.now - demand.born
         self.times.append(took)
-        if took > self.world.settings.classes[demand.cls].aim:
+        if took > self.aims[demand.cls]:
             self._note(demand, "late")
             return
         self.by_class[demand.cls][1] += demand.worth
@@ -58,7 +59,7 @@
     def lost(self, demand: Demand, why: str) -> None:
         demand.over = True
         self._note(demand, why)
-        if self.world.clock.now - demand.born > self.world.settings.classes[demand.cls].aim:
+        if self.clock.now - demand.born > self.aims[demand.cls]:
             self.late_lost += demand.worth
 
     def _note(self, demand: Demand, why: str) -> None:
@@ -84,9 +85,11 @@
             return self.place_of(next(iter(asked.out.values())).server)
         return "in router"
 
-    def result(self) -> Json:
-        """The figures of the whole play."""
-        goal, seconds = self.world.day.goal, self.by_second
+    def result(
+        self, cpu: list[int], origin: OriginServer, registry: Registry, servers: list[CacheServer]
+    ) -> Json:
+        """The figures of the whole play. cpu: ns of each router's processor, in order of size."""
+        goal, seconds = self.day.goal, self.by_second
         asked = sum(pair[0] for pair in self.by_class)
         whole = sum(pair[1] for pair in self.by_class) / asked if asked else 1.0
         shares = [pair[1] / pair[0] for pair in self.by_class if pair[0]]
@@ -110,7 +113,6 @@
             + goal.worst_class * min(shares, default=1.0)
         )
         times = sorted(self.times)
-        cpu = sorted(router.cpu for router in self.world.routers)
         return {
             "G": _rounded(served - sum(prices.values())),
             "whole": _rounded(whole),
@@ -118,7 +120,7 @@
             "worst_window_from_s": worst_from,
             "classes": {
                 spec.name: _rounded(pair[1] / pair[0]) if pair[0] else None
-                for spec, pair in zip(self.world.day.workload.classes, self.by_class, strict=True)
+                for spec, pair in zip(self.day.workload.classes, self.by_class, strict=True)
             },
             "prices": {name: _rounded(value) for name, value in prices.items()},
             "losses": {name: _rounded(self.causes[name] / asked) for name in sorted(self.causes)},
@@ -132,14 +134,13 @@
             "refused_connects": self.refused_connects,
             "crossings": self.crossings,
             "origin": {
-                "reads": self.world.origin.reads,
-                "writes": self.world.origin.writes,
-                "rejected": self.world.origin.rejected,
+                "reads": origin.reads,
+                "writes": origin.writes,
+                "rejected": origin.rejected,
             },
-            "discovery": {"calls": self.world.registry.calls, "failed": self.world.registry.failed},
+            "discovery": {"calls": registry.calls, "failed": registry.failed},
             "hit_share": _rounded(
-                sum(one.hits for one in self.world.all_servers)
-                / max(1, sum(one.hits + one.misses for one in self.world.all_servers))
+                sum(one.hits for one in servers) / max(1, sum(one.hits + one.misses for one in servers))
             ),
             "ms": {
                 "p50": self._at(times, 0.5),
--- a/applehub/lab/clients.py
+++ b/applehub/lab/clients.py
@@ -1,64 +1,85 @@
 """Clients: their tries, time-outs and retries, and the front that deals them to routers."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from applehub import interface as api
-from applehub.lab.clock import MILLI, SECOND
-from applehub.lab.routers import Asked, Demand, RouterHost, try_id
-
-if TYPE_CHECKING:
-    from applehub.lab.world import World
+from applehub.lab.account import Account
+from applehub.lab.clock import MILLI, SECOND, Clock
+from applehub.lab.demand import Demand, try_id
+from applehub.lab.network import Net
+from applehub.lab.routers import RouterHost
+from applehub.lab.rules import Rules
+from applehub.lab.spec import Day
+from applehub.lab.streams import Draws
+from applehub.lab.tries import Asked
+from applehub.lab.workload import Workload
 
 
 class Clients:
     """All clients of one play."""
 
-    def __init__(self, world: "World") -> None:
-        self.world, self.clock = world, world.clock
-        self.spec = world.day.clients
-        self.draws, self.dealt = world.draws("clients"), world.draws("front")
+    def __init__(
+        self,
+        day: Day,
+        classes: list[api.RequestClass],
+        clock: Clock,
+        workload: Workload,
+        net: Net,
+        account: Account,
+        rules: Rules,
+        routers_in: list[list[RouterHost]],
+        draws: Callable[[str], Draws],
+        follow: Callable[[Asked], None],
+    ) -> None:
+        """routers_in: by zone. draws: a stream of its own for each name. follow: is told of each try."""
+        self.day, self.classes, self.clock, self.workload = day, classes, clock, workload
+        self.net, self.account, self.rules, self.follow = net, account, rules, follow
+        self.routers_in = routers_in
+        self.routers = sorted((one for near in routers_in for one in near), key=lambda one: one.index)
+        self.spec = day.clients
+        self.draws, self.dealt = draws("clients"), draws("front")
         self.next = 0  # of the workload
         self.noticed_down: set[int] = set()  # routers that the front deals nobody to
 
     def begin(self) -> None:
-        if self.world.workload.times:
-            self.clock.at(self.world.workload.times[0], self._arrive)
+        if self.workload.times:
+            self.clock.at(self.workload.times[0], self._arrive)
 
     def _arrive(self, _: None) -> None:
-        load, number = self.world.workload, self.next
+        load, number = self.workload, self.next
         self.next += 1
         if self.next < len(load.times):
             self.clock.at(load.times[self.next], self._arrive)
         cls = load.classes[number]
-        spec, work = self.world.day.workload.classes[cls], load.works[number]
+        spec, work = self.day.workload.classes[cls], load.works[number]
         worth = spec.worth * work / (spec.work_ms * MILLI)
         demand = Demand(
             number, cls, load.zones[number], load.keys[number], spec.write, work, self.clock.now, worth
         )
-        self.world.account.asked_for(demand)
+        self.account.asked_for(demand)
         self._try(demand)
 
     def _deal(self, zone: int) -> RouterHost | None:
         """A router of the client's zone; where there is none, any."""
-        near = self.world.routers_in[zone]
+        near = self.routers_in[zone]
         if self.noticed_down or not near:
             near = [one for one in near if one.index not in self.noticed_down]
-            near = near or [one for one in self.world.routers if one.index not in self.noticed_down]
+            near = near or [one for one in self.routers if one.index not in self.noticed_down]
         return near[self.dealt.below(len(near))] if near else None
 
     def _try(self, demand: Demand) -> None:
-        now, spec = self.clock.now, self.world.settings.classes[demand.cls]
+        now, spec = self.clock.now, self.classes[demand.cls]
         low, high = self.spec.try_share
         deadline = min(now + int(spec.deadline * self.draws.between(low, high)), demand.born + spec.deadline)
         router = self._deal(demand.zone)
         demand.tries += 1
-        self.world.account.tries += 1
+        self.account.tries += 1
         if router is None:
             self._retry(demand, "unreachable", 0)
             return
         asked = Asked(try_id(demand), demand, router, deadline, demand.tries > 1)
-        self.world.follow(asked)
-        self.clock.after(self.world.net.client, router.take, asked)
+        self.follow(asked)
+        self.clock.after(self.net.client, router.take, asked)
         self.clock.at(deadline, self._give_up, asked)
         if self.spec.leave_early and self.draws.uniform() < self.spec.leave_early:
             self.clock.after(int((deadline - now) * self.draws.uniform()), self._leave, asked)
@@ -74,7 +95,7 @@
         asked.heard = True
         demand = asked.demand
         if how == "ok":
-            self.world.account.served(demand)
+            self.account.served(demand)
             return
         if how == "refused":
             how = f"refused after {asked.last}" if asked.last else "refused unsent"
@@ -86,20 +107,20 @@
         if not asked.heard:
             asked.heard = True
             asked.router.withdraw(asked)
-            self.world.account.lost(asked.demand, "left early")
+            self.account.lost(asked.demand, "left early")
 
     def _give_up(self, asked: Asked) -> None:
         """The client stops waiting; the router still owes an answer for the rule's slack."""
         if asked.final < 0:
-            self.clock.after(self.world.rules.slack, self.world.rules.overdue, asked)
+            self.clock.after(self.rules.slack, self.rules.overdue, asked)
         if asked.heard:
             return
         asked.heard = True
-        self._retry(asked.demand, f"timed out {self.world.account.where(asked)}", 0)
+        self._retry(asked.demand, f"timed out {self.account.where(asked)}", 0)
 
     def _retry(self, demand: Demand, why: str, retry_after: int) -> None:
         """Tries again after a wait, where the class and what is known of the last try allow it."""
-        spec, now = self.world.settings.classes[demand.cls], self.clock.now
+        spec, now = self.classes[demand.cls], self.clock.now
         harmless = why.startswith("refused") or why == "unreachable"
         windowed = spec.effect is api.Effect.KEYED and now < demand.born + spec.window
         wait = int(self.spec.backoff_ms * MILLI * (1 << (demand.tries - 1)) * self.draws.between(0.5, 1.5))
@@ -107,7 +128,7 @@
             wait = max(wait, retry_after)
         allowed = harmless or spec.effect is api.Effect.SAFE or windowed
         if not allowed or demand.tries > self.spec.retries or now + wait >= demand.born + spec.deadline:
-            self.world.account.lost(demand, why)
+            self.account.lost(demand, why)
             return
         self.clock.after(wait, self._again, demand)
 
--- a/applehub/lab/faults.py
+++ b/applehub/lab/faults.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from applehub import interface as api
 from applehub.lab import spec
@@ -10,9 +10,7 @@
 from applehub.lab.routers import RouterHost
 from applehub.lab.servers import CacheServer
 from applehub.lab.streams import Draws
-
-if TYPE_CHECKING:
-    from applehub.lab.world import World
+from applehub.lab.world import World
 
 
 def _ns(seconds: float) -> int:
@@ -22,7 +20,7 @@
 class Faults:
     """Plans all faults of a play."""
 
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: World) -> None:
         self.world, self.clock = world, world.clock
         planners: dict[type, Callable[[Any, Draws], None]] = {
             spec.Neighbour: self._neighbours,
--- a/applehub/lab/fleet/draw.py
+++ b/applehub/lab/fleet/draw.py
@@ -79,7 +79,22 @@
 )
 
 
-def draw(seed: int, routers: int, caches: int, faults: int, seconds: float, rate: float) -> Plan:
+def _on_replicas(fault: Json, draws: Draws) -> Json:
+    """What strikes the stand-in for the list service strikes a replica of the service, or what it is told
+    by."""
+    if fault["kind"] == "overload":  # the stand-in's own; a replica that stands still looks much alike
+        return {**fault, "kind": "stop", "target": ["PRIMARY"]}
+    name = ("PRIMARY", f"list-{draws.below(3)}")[draws.below(2)]
+    if fault.get("target") == ["list"]:
+        return {**fault, "target": [name]}
+    if fault.get("edges") == ["*>list"]:
+        return {**fault, "edges": [f"*>{name}", f"{name}>*"]}
+    return fault
+
+
+def draw(
+    seed: int, routers: int, caches: int, faults: int, seconds: float, rate: float, lists: int = 0
+) -> Plan:
     """A plan with so many faults, at moments spread over the time. The same arguments give the same plan."""
     draws, whole = Draws(seed, "plan"), sum(weight for weight, _ in KINDS)
     drawn: list[Json] = []
@@ -92,23 +107,38 @@
                     {**make(draws, routers, caches), "at": draws.between(1.0, max(1.1, seconds - 4))}
                 )
                 break
+    if lists:
+        drawn = [_on_replicas(one, draws) for one in drawn]
     drawn.sort(key=lambda one: one["at"])
     return make_plan(
         f"seed {seed}",
         {
             "name": f"seed-{seed}",
-            "fleet": {"routers": routers, "caches": caches, "zones": 2},
+            "fleet": {
+                "routers": routers,
+                "caches": caches,
+                "zones": 2,
+                "lists": lists,
+                "changes": 5.0 if lists else 0.0,
+            },
             "load": {"rate": rate, "seconds": seconds, "seed": seed},
             "faults": [_apart(one, drawn[:number]) for number, one in enumerate(drawn)],
         },
     )
 
 
+def _lists(fault: Json) -> bool:
+    """Whether it strikes the list service's replicas: two at once leave no majority."""
+    named = [*fault.get("target", []), *fault.get("edges", [])]
+    return any("PRIMARY" in one or "list-" in one for one in named)
+
+
 def _apart(fault: Json, before: list[Json]) -> Json:
     """Two ends of one process would overlap: the later waits until the earlier is over."""
     at = fault["at"]
     for one in before:
         same = set(one.get("target", [])) & set(fault.get("target", []))
+        same |= {"list"} if _lists(one) and _lists(fault) else set()
         if same or {one["kind"], fault["kind"]} == {"overload", "kill"}:
             at = max(at, one["at"] + one.get("for_s", 0.0) + 4.5)
     fault["at"] = at
--- a/applehub/lab/origin.py
+++ b/applehub/lab/origin.py
@@ -1,16 +1,11 @@
 """The origin that all caches share: slow, bounded, and with a queue of its own."""
 
-from typing import TYPE_CHECKING
-
 from applehub import interface as api
 from applehub.lab.clock import Clock
-from applehub.lab.servers import Station
+from applehub.lab.servers import Job, Station
 from applehub.lab.spec import Origin
 from applehub.lab.streams import Draws
 
-if TYPE_CHECKING:
-    from applehub.lab.routers import Attempt
-
 WRITE_WORK = 1.5  # of a write, by a read's mean
 
 
@@ -25,10 +20,10 @@
         super().__init__(clock, cores, speed, cores, max(1, int(rate * spec.queue_s)))
         self.choke, self.choke_at = spec.choke, cores * 4.0
         self.id, self.spec, self.draws = name, spec, draws
-        self.together: dict[str, list[Attempt]] = {}  # reads that share one that is out, by key
+        self.together: dict[str, list[Job]] = {}  # reads that share one that is out, by key
         self.reads = self.writes = self.rejected = 0
 
-    def take(self, attempt: "Attempt") -> None:
+    def take(self, attempt: Job) -> None:
         """An attempt's last byte has come."""
         demand = attempt.asked.demand
         if demand.write:
@@ -45,7 +40,7 @@
         elif self.spec.coalesce and not demand.write:
             self.together[demand.key] = []
 
-    def done(self, job: "Attempt") -> None:
+    def done(self, job: Job) -> None:
         demand = job.asked.demand
         others = [] if demand.write else self.together.pop(demand.key, [])
         failed = self.spec.error_share and self.draws.uniform() < self.spec.error_share
--- a/applehub/lab/policies.py
+++ b/applehub/lab/policies.py
@@ -5,16 +5,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import Protocol
 from zlib import crc32
 
 from applehub import interface as api
+from applehub.lab.origin import OriginServer
+from applehub.lab.servers import CacheServer
 from applehub.logic import Balancer
 from applehub.wirehost import Decider
 
-if TYPE_CHECKING:
-    from applehub.lab.world import World
-
 POINTS = 64  # of each server on the ring
 BOUND = 1.25  # times the mean of what is out that a server may have
 ASK_AGAIN = 1_000_000_000  # ns after a failed call to discovery
@@ -150,32 +149,42 @@
         return self.ready[0]
 
 
+class Sight(Protocol):
+    """The true state of a play, which no router sees."""
+
+    mean_work: float
+    origin: OriginServer
+
+    def server(self, name: str) -> CacheServer:
+        """A cache server by its id."""
+
+
 class Oracle(Plain):
     """Sees the true state: of the servers that store the key the one that is soonest done; else the origin by
     way of the key's own server. Refuses what can't be timely."""
 
-    def __init__(self, settings: api.Settings, seed: int, world: "World") -> None:
+    def __init__(self, settings: api.Settings, seed: int, sight: Sight) -> None:
         super().__init__(settings, seed)
-        self.world = world
+        self.sight = sight
 
     def _wait(self, name: str, work: float) -> float:
-        server = self.world.server(name)
+        server = self.sight.server(name)
         if not server.reachable or server.fallen or server.capacity <= 0:
             return float("inf")
         spread = max(1.0, (server.held + 1) / max(0.01, server.free_cores()))
         return work * spread / server.pace()
 
     def choose(self, job: Job) -> str | None:
-        key, work = job.request.key or "", self.world.mean_work
+        key, work = job.request.key or "", self.sight.mean_work
         due = self.settings.classes[job.request.cls].aim * 0.9
         wait, name = self._soonest(
-            [one for one in self.ready if key in self.world.server(one).memory], job, work
+            [one for one in self.ready if key in self.sight.server(one).memory], job, work
         )
         if wait < due:
             return name
         near = sorted(self.ready, key=lambda one: crc32(f"{one}{key}".encode()))[:4]
         wait, name = self._soonest(near, job, work)
-        if wait >= due or self.world.origin.held > 4 * self.world.origin.slots:
+        if wait >= due or self.sight.origin.held > 4 * self.sight.origin.slots:
             return None
         return name
 
@@ -191,10 +200,10 @@
 }  # baselines that see no more than a router does
 
 
-def maker(name: str, world: "World") -> Callable[[api.Settings, int], Decider]:
+def maker(name: str, sight: Sight) -> Callable[[api.Settings, int], Decider]:
     """What makes a router's decisions under a policy's name."""
     if name == "router":
         return Balancer
     if name == "oracle":
-        return partial(Oracle, world=world)
+        return partial(Oracle, sight=sight)
     return BLIND[name]
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -2,92 +2,47 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 from applehub import interface as api
-from applehub.lab.clock import MILLI, SECOND
+from applehub.lab import spec
+from applehub.lab.account import Account
+from applehub.lab.clock import MILLI, SECOND, Clock
+from applehub.lab.discovery import Registry
+from applehub.lab.network import Net
 from applehub.lab.origin import OriginServer
+from applehub.lab.rules import Rules
 from applehub.lab.servers import CacheServer
+from applehub.lab.tries import Asked, Attempt, Place
 from applehub.wirehost import Decider
 
-if TYPE_CHECKING:
-    from applehub.lab.world import World
-
-MOST_TRIES = 11  # of one demand
 STORES = 2  # servers that missed for a request and keep what the origin answered
 KILLED_AFTER = 700 * MILLI  # past the longest deadline, after SIGTERM
-Place = CacheServer | OriginServer
-
-
-@dataclass(slots=True, eq=False)
-class Demand:
-    """What a client wants, over all of its tries."""
-
-    number: int
-    cls: int
-    zone: int
-    key: str
-    write: bool
-    work: int
-    born: int
-    worth: float
-    tries: int = 0
-    over: bool = False
-
-
-def try_id(demand: Demand) -> str:
-    """The id of its latest try: a new one for each, from which the demand's number can be told."""
-    return f"{demand.number * MOST_TRIES + demand.tries:016x}"
-
-
-def demand_of(identity: str) -> int:
-    """The number of the demand that a try's id belongs to; raises ValueError for what is no id."""
-    return int(identity, 16) // MOST_TRIES
-
-
-@dataclass(slots=True, eq=False)
-class Asked:
-    """One try of a client at one router."""
-
-    id: str
-    demand: Demand
-    router: "RouterHost"
-    deadline: int
-    retry: bool
-    final: int = -1  # when the router gave its answer
-    heard: bool = False  # the client has it, or no longer waits
-    made: int = 0
-    live: "dict[int, Attempt]" = field(default_factory=dict)  # may have run
-    out: "dict[int, Attempt]" = field(default_factory=dict)
-    missed: list[CacheServer] = field(default_factory=list)
-    last: str = ""  # how its last attempt ended, and where
-    events: list[tuple[int, str]] = field(default_factory=list)
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt; ended: nobody waits for it any more."""
-
-    asked: Asked
-    number: int
-    router: "RouterHost"
-    server: Place
-    sent: int
-    life: int  # of the router
-    incarnation: int  # of the server
-    opened: bool = False  # on a new connection
-    linked: bool = False  # the connection counts at the server
-    written: bool = False
-    ended: bool = False
-    hit: bool = False
+
+
+@dataclass(slots=True)
+class Surroundings:
+    """What all routers of a play share."""
+
+    clock: Clock
+    spec: spec.Routers
+    net: Net
+    registry: Registry
+    places: dict[str, Place]
+    servers: list[CacheServer]
+    rules: Rules
+    account: Account
+    longest_deadline: int
+    answered: Callable[[Asked, str, int, int], None]  # the try, how, when to come back, the way to the client
+    log: Callable[["RouterHost", str], None]
+    tipped: Callable[[CacheServer], None]
 
 
 class RouterHost:
     """One router: its processor, its connections, and what it holds."""
 
-    def __init__(self, world: "World", index: int, zone: int) -> None:
-        self.world, self.clock, self.index, self.zone = world, world.clock, index, zone
+    def __init__(self, around: Surroundings, index: int, zone: int) -> None:
+        self.around, self.clock, self.index, self.zone = around, around.clock, index, zone
         self.life = 0
         self.up = self.taking = False
         self.busy = 0  # until when its processor has work
@@ -99,8 +54,8 @@
         self.told_away: dict[str, int] = {}  # when it was told that a server drains or is gone
         self.asked_at = 0  # when it last asked discovery, and whether that is still on
         self.subscribed = False
-        self.max_attempts = world.day.routers.max_attempts
-        costs = world.day.routers
+        self.max_attempts = around.spec.max_attempts
+        costs = around.spec
         self.request_cost, self.attempt_cost = int(costs.request_us * 1000), int(costs.attempt_us * 1000)
         self.alarm_cost, self.member_cost = int(costs.alarm_us * 1000), int(costs.member_us * 1000)
         self.idle_most = int(costs.idle_s * SECOND)
@@ -114,7 +69,7 @@
         self.up = self.taking = True
         self.busy = self.clock.now
         self.subscribed, self.asked_at = False, self.clock.now
-        self.max_attempts = self.world.day.routers.max_attempts
+        self.max_attempts = self.around.spec.max_attempts
         self.decider = make(self.life)
         self._members(api.Members(api.ListKind.CACHED, list(self.known.values())), self.version)
 
@@ -122,7 +77,7 @@
         """The process ends at once: clients see their connections break."""
         self.up = self.taking = False
         self.life += 1
-        self.world.registry.forget(self.index)
+        self.around.registry.forget(self.index)
         for asked in list(self.asked.values()):
             for attempt in asked.out.values():
                 attempt.ended = True
@@ -130,10 +85,10 @@
             if asked.final < 0:
                 asked.final = self.clock.now
                 self._note(asked, "router died")
-                self.world.clients.answered(asked, "unreachable", 0, self.world.net.client)
+                self.around.answered(asked, "unreachable", 0, self.around.net.client)
         self.asked.clear()
         for name, idle in self.idle.items():
-            server = self.world.places[name]
+            server = self.around.places[name]
             for _, incarnation in idle:
                 self._disconnect(server, incarnation)
         self.idle.clear()
@@ -141,7 +96,7 @@
     def drain(self, then: Callable[["RouterHost"], None]) -> None:
         """SIGTERM: takes nothing new, and ends once all is answered or its time is up."""
         self.taking = False
-        self._drained((self.clock.now + self.world.longest_deadline + KILLED_AFTER, self.life, then))
+        self._drained((self.clock.now + self.around.longest_deadline + KILLED_AFTER, self.life, then))
 
     def _drained(self, whose: tuple[int, int, Callable[["RouterHost"], None]]) -> None:
         by, life, then = whose
@@ -184,7 +139,7 @@
                 case api.Watch():
                     self._subscribe()
                 case api.Log():
-                    self.world.log(self, action.text)
+                    self.around.log(self, action.text)
 
     def _alarm(self, what: tuple[int, str]) -> None:
         if what[0] == self.life:
@@ -199,7 +154,7 @@
                 self.subscribed = event.kind is not api.ListKind.FAILED
                 self._members(event, version)
 
-        self.world.registry.subscribe(self.index, self.version, told)
+        self.around.registry.subscribe(self.index, self.version, told)
 
     def move(self) -> None:
         """Discovery is elsewhere from now on: a watch that is on begins anew there, at once."""
@@ -221,7 +176,7 @@
         self.deliver(event, self.member_cost * (1 + len(event.entries)))
 
     def _forget(self, name: str) -> None:
-        server = self.world.places[name]
+        server = self.around.places[name]
         for _, incarnation in self.idle.pop(name, ()):
             self._disconnect(server, incarnation)
 
@@ -230,7 +185,7 @@
     def take(self, asked: Asked) -> None:
         """A client's last byte has come."""
         if not self.up:
-            self.world.clients.answered(asked, "unreachable", 0, self.world.net.client)
+            self.around.answered(asked, "unreachable", 0, self.around.net.client)
             return
         demand = asked.demand
         self.asked[asked.id] = asked
@@ -258,10 +213,10 @@
         if asked is None or asked.final >= 0:
             return
         if how == "refused":
-            self.world.rules.refusing(asked)
+            self.around.rules.refusing(asked)
         asked.final = self.clock.now
         self._note(asked, how)
-        self.world.clients.answered(asked, how, retry_after, self.world.net.client + self._behind())
+        self.around.answered(asked, how, retry_after, self.around.net.client + self._behind())
         self._release(asked)
 
     def _behind(self) -> int:
@@ -275,16 +230,16 @@
     # Attempts
 
     def _send(self, action: api.Send) -> None:
-        now, asked, server = self.clock.now, self.asked.get(action.id), self.world.places[action.server]
+        now, asked, server = self.clock.now, self.asked.get(action.id), self.around.places[action.server]
         if asked is None:
-            self.world.rules.unknown(action, self)
+            self.around.rules.unknown(action, self)
             return
         number, asked.made = asked.made, asked.made + 1
         incarnation = server.incarnation if isinstance(server, CacheServer) else 0
         attempt = Attempt(asked, number, self, server, now, self.life, incarnation)
         left = asked.deadline - now
         wait = min(action.timeout, left) if action.timeout > 0 else left
-        if not self.world.rules.sending(attempt) or wait <= 0:
+        if not self.around.rules.sending(attempt) or wait <= 0:
             asked.out[number] = attempt
             self.clock.after(0, self._moot, attempt)
             return
@@ -298,7 +253,7 @@
 
     def _dial(self, attempt: Attempt) -> None:
         """Takes an idle connection, the one used last, or opens one."""
-        server, net, account = attempt.server, self.world.net, self.world.account
+        server, net, account = attempt.server, self.around.net, self.around.account
         behind = self._behind()
         if isinstance(server, OriginServer):
             self.clock.after(behind + net.delay(0, 1), self._arrive, attempt)
@@ -340,20 +295,20 @@
         attempt.incarnation = server.incarnation
         attempt.linked = True
         server.connections += 1
-        self.clock.after(self.world.net.delay(self.zone, server.zone), self._arrive, attempt)
+        self.clock.after(self.around.net.delay(self.zone, server.zone), self._arrive, attempt)
 
     def _refused(self, attempt: Attempt) -> None:
         if not attempt.ended:
-            self.world.account.refused_connects += 1
+            self.around.account.refused_connects += 1
             self._ended(attempt, api.Status.CONNECT_FAILED, 0, None)
 
     def _arrive(self, attempt: Attempt) -> None:
         """The attempt's last byte is at the server."""
-        server, net = attempt.server, self.world.net
+        server, net = attempt.server, self.around.net
         if attempt.ended and not attempt.linked:
             return
         attempt.written = True
-        self.world.account.attempts += 1
+        self.around.account.attempts += 1
         if isinstance(server, OriginServer):
             server.take(attempt)
             return
@@ -362,9 +317,9 @@
         if not server.up or server.fallen or server.incarnation != attempt.incarnation:
             self.clock.after(net.delay(self.zone, server.zone), self._broken, attempt)
             return
-        informed = self.world.rules.informed_of_start(self, server)
+        informed = self.around.rules.informed_of_start(self, server)
         if server.take(attempt, informed):
-            self.world.tipped(server)
+            self.around.tipped(server)
 
     def _broken(self, attempt: Attempt) -> None:
         if not attempt.ended and attempt.life == self.life:
@@ -374,18 +329,18 @@
         """The server's process has ended under an attempt."""
         server = attempt.server
         assert isinstance(server, CacheServer)
-        self.clock.after(self.world.net.delay(self.zone, server.zone), self._broken, attempt)
+        self.clock.after(self.around.net.delay(self.zone, server.zone), self._broken, attempt)
 
     def answered(self, attempt: Attempt, status: api.Status, note: int) -> None:
         """A server has answered; the answer is on its way."""
-        server, net, demand = attempt.server, self.world.net, attempt.asked.demand
+        server, net, demand = attempt.server, self.around.net, attempt.asked.demand
         if isinstance(server, OriginServer):
             if status is api.Status.OK:
                 self._carried_out(attempt)
             self.clock.after(net.delay(0, 1), self._back, (attempt, status, note, None))
             return
         if attempt.ended and status is api.Status.OK:
-            self.world.account.wasted += demand.work
+            self.around.account.wasted += demand.work
         if net.apart(self.zone, server.zone) or server.silent or net.loses():
             return
         if net.resets():
@@ -398,7 +353,7 @@
         """A write voids the copies of its key; a read that is waited for is stored where it missed."""
         asked, demand = attempt.asked, attempt.asked.demand
         if demand.write:
-            for server in self.world.servers:
+            for server in self.around.servers:
                 server.memory.pop(demand.key, None)
         elif asked.final < 0 and not attempt.ended:
             for server in asked.missed[:STORES]:
@@ -428,7 +383,7 @@
             asked.live.pop(attempt.number, None)
         if status is api.Status.MISS and isinstance(server, CacheServer):
             asked.missed.append(server)
-        asked.last = self.world.account.ended(status, server)
+        asked.last = self.around.account.ended(status, server)
         self._note(asked, f"attempt {attempt.number} at {server.id}: {status}")
         won = status is api.Status.OK and asked.final < 0
         if won:
@@ -438,7 +393,7 @@
         )
         self.deliver(event, self.attempt_cost)
         if won:
-            self.world.clients.answered(asked, "ok", 0, self.world.net.client + self._behind())
+            self.around.answered(asked, "ok", 0, self.around.net.client + self._behind())
         self._release(asked)
 
     # Connections
@@ -457,7 +412,7 @@
         before = self.clock.now - self.idle_most
         for name, idle in self.idle.items():
             while idle and idle[0][0] < before:
-                self._disconnect(self.world.places[name], idle.popleft()[1])
+                self._disconnect(self.around.places[name], idle.popleft()[1])
 
     def _note(self, asked: Asked, text: str) -> None:
         asked.events.append((self.clock.now, text))
--- a/applehub/lab/runner.py
+++ b/applehub/lab/runner.py
@@ -17,8 +17,8 @@
 import orjson
 
 import applehub
+from applehub.lab.play import play
 from applehub.lab.spec import Day, Experiment, read_raw
-from applehub.lab.world import play
 from applehub.settings import Json
 
 DECIDING = ("logic.py", "interface.py", "settings.py")  # beside the lab, what figures depend on
--- a/applehub/lab/servers.py
+++ b/applehub/lab/servers.py
@@ -2,21 +2,53 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from applehub import interface as api
 from applehub.lab.clock import MILLI, SECOND, Clock
+from applehub.lab.demand import Demand
 from applehub.lab.spec import Kind, Servers
 from applehub.lab.streams import Draws
 
-if TYPE_CHECKING:
-    from applehub.lab.routers import Attempt
-
 LONG_AGO = -(1 << 62)
 RULE_SLACK = 3  # requests of mean work by which a cold server's budget may be passed by chance
 EVENTS_KEPT = 8
 
 
+class Answers(Protocol):
+    """Who waits for a job: a router."""
+
+    def answered(self, attempt: Any, status: api.Status, note: int) -> None:
+        """The job is done."""
+
+    def broken(self, attempt: Any) -> None:
+        """The server's process has ended under it."""
+
+
+class Tried(Protocol):
+    """The try that a job belongs to."""
+
+    @property
+    def demand(self) -> Demand:
+        """What the client wants."""
+
+
+class Job(Protocol):
+    """What a server knows of the work it is sent."""
+
+    hit: bool
+    opened: bool  # on a new connection
+    ended: bool  # nobody waits for it any more
+
+    @property
+    def router(self) -> Answers:
+        """Who is told how it ended."""
+
+    @property
+    def asked(self) -> Tried:
+        """The try."""
+
+
 class Station:
     """Cores shared by the jobs in service, and a waiting room.
 
@@ -186,7 +218,7 @@
         self.memory.clear()
         self.events.append((self.clock.now, "started"))
 
-    def stop(self) -> "list[Attempt]":
+    def stop(self) -> "list[Job]":
         """Its process ends; what it held is given back, and its connections lead nowhere from now on."""
         self.up = False
         self.incarnation += 1
@@ -197,7 +229,7 @@
 
     # Requests
 
-    def take(self, attempt: "Attempt", informed: bool) -> bool:
+    def take(self, attempt: Job, informed: bool) -> bool:
         """An attempt's last byte has come; whether it tips this cold server over."""
         demand = attempt.asked.demand
         work = demand.work + (self.handshake if attempt.opened else 0)
@@ -229,10 +261,10 @@
         if len(self.memory) > self.memory_most:
             del self.memory[next(iter(self.memory))]
 
-    def done(self, job: "Attempt") -> None:
+    def done(self, job: Job) -> None:
         job.router.answered(job, api.Status.OK if job.hit else api.Status.MISS, 1 if job.hit else 2)
 
-    def wanted(self, job: "Attempt") -> bool:
+    def wanted(self, job: Job) -> bool:
         return not (self.spec.drops_abandoned and job.ended)
 
     def _tipped(self, work: int, informed: bool) -> bool:
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -1,4 +1,4 @@
-"""One play: a day, a policy and a seed, wired together and played to its end."""
+"""The parts of one play, wired together; its faults come from outside."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -8,15 +8,15 @@
 from applehub.lab.clients import Clients
 from applehub.lab.clock import MILLI, SECOND, Clock
 from applehub.lab.discovery import Registry
-from applehub.lab.faults import Faults
 from applehub.lab.network import Net
 from applehub.lab.origin import OriginServer
 from applehub.lab.policies import maker
-from applehub.lab.routers import Asked, Place, RouterHost
+from applehub.lab.routers import RouterHost, Surroundings
 from applehub.lab.rules import Rules
 from applehub.lab.servers import LONG_AGO, CacheServer
 from applehub.lab.spec import Day, settings_of
 from applehub.lab.streams import Draws, generator
+from applehub.lab.tries import Asked, Place
 from applehub.lab.workload import base_rate, draw_workload
 from applehub.logic import KeyRanges
 from applehub.settings import Json, read_settings
@@ -44,17 +44,27 @@
         self.all_servers: list[CacheServer] = []  # those that were replaced, too
         self.origin = self._make_origin()
         self._make_servers()
-        self.account, self.rules = Account(self), Rules(self)
+        classes = self.settings.classes
+        self.account = Account(day, [one.aim for one in classes], self.clock)
+        self.rules = Rules(day.rules, classes, self.clock, self.places, self.registry)
         self.make = maker(policy, self)
-        self.routers = [RouterHost(self, n, n % len(day.topology.zones)) for n in range(day.topology.routers)]
+        around = Surroundings(
+            self.clock, day.routers, self.net, self.registry, self.places, self.servers, self.rules,
+            self.account, self.longest_deadline, self._answered, self.log, self.tipped,
+        )  # fmt: skip
+        self.routers = [
+            RouterHost(around, n, n % len(day.topology.zones)) for n in range(day.topology.routers)
+        ]
         self.routers_in: list[list[RouterHost]] = [[] for _ in day.topology.zones]
         for router in self.routers:
             self.routers_in[router.zone].append(router)
-        self.clients = Clients(self)
+        self.clients = Clients(
+            day, classes, self.clock, self.workload, self.net, self.account, self.rules, self.routers_in,
+            self.draws, self.follow,
+        )  # fmt: skip
         self.followed = -1  # the number of a demand whose tries are kept
         self.tries: list[Asked] = []
         self.logs: list[tuple[int, int, str]] = []
-        Faults(self)
 
     def draws(self, part: str) -> Draws:
         return Draws(self.seed, part)
@@ -170,6 +180,9 @@
             if not attempt.ended:
                 attempt.router.broken(attempt)
 
+    def _answered(self, asked: Asked, how: str, retry_after: int, way: int) -> None:
+        self.clients.answered(asked, how, retry_after, way)
+
     def tipped(self, server: CacheServer) -> None:
         self.rules.tipped(server)
         self.stop_server(server)
@@ -214,9 +227,6 @@
         self.clock.after(SWEEP, self._sweep)
         end = int(self.day.seconds * SECOND) + self.longest_deadline + SECOND
         calls = self.clock.run(end)
-        return {**self.account.result(), "rules": self.rules.report(), "events": calls}
-
-
-def play(day: Day, policy: str, seed: int) -> Json:
-    """The figures of one play."""
-    return World(day, policy, seed).play()
+        cpu = sorted(router.cpu for router in self.routers)
+        result = self.account.result(cpu, self.origin, self.registry, self.all_servers)
+        return {**result, "rules": self.rules.report(), "events": calls}
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,12 +15,12 @@
 from applehub.lab.__main__ import main
 from applehub.lab.clock import MILLI, Clock
 from applehub.lab.compare import mean_of
+from applehub.lab.play import stage
 from applehub.lab.policies import Plain
 from applehub.lab.runner import make_plan, read_results
 from applehub.lab.servers import Station
 from applehub.lab.spec import SpecError, read_raw
 from applehub.lab.workload import draw_workload
-from applehub.lab.world import World
 
 TINY = Path(__file__).with_name("tiny.toml")
 RAW = tomllib.loads(TINY.read_text(encoding="utf-8"))
@@ -144,7 +144,7 @@
     monkeypatch.setattr(world, "maker", lambda name, of: make)
     faults = [{"kind": "join", "at_s": 1, "for_s": 0.5, "part": 0.5, "drain_s": 1}]
     origin = {"error_share": 0.5} if fault == "no second effect" else {}
-    report = World(day_of(faults=faults, origin=origin, seconds=6), "faulty", 1).play()["rules"]
+    report = stage(day_of(faults=faults, origin=origin, seconds=6), "faulty", 1).play()["rules"]
     assert set(report["counts"]) == {fault}
     first = report["first"][0]
     assert first["at_ms"] > 0 and first["events"] and (first["request"] or first["server"])
