--- a/applehub/lab/fleet/commands.py
+++ b/applehub/lab/fleet/commands.py
@@ -1,6 +1,7 @@
 """The lab's command `fleet`: plays plans on the proving ground."""
 
 import asyncio
+import resource
 import sys
 from collections.abc import Callable
 from importlib import resources
@@ -11,6 +12,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from applehub.lab.fleet import scale
 from applehub.lab.fleet.checks import CHECKS, Broken, judge
 from applehub.lab.fleet.draw import draw, shrink
 from applehub.lab.fleet.ground import together
@@ -52,6 +54,9 @@
 @click.option(
     "--rate", type=click.FloatRange(1, 5000), default=300.0, help="Requests a second, of a drawn plan."
 )
+@click.option(
+    "--lists", type=click.Choice(["0", "3"]), default="0", help="Replicas of the list service, drawn."
+)
 @click.option("--variant", type=click.Choice(sorted(VARIANTS)), help="A known-bad router.")
 @click.option("--shrink", "shrinking", is_flag=True, help="Cuts a plan that breaks a rule to a small one.")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Keeps all files of the play.")
@@ -59,7 +64,7 @@
 @guarded
 def fleet(
     file: str | None, quick: bool, seed: int | None, routers: int, caches: int, faults: int, seconds: float,
-    rate: float, variant: str | None, shrinking: bool, keep: Path | None, as_json: bool,
+    rate: float, lists: str, variant: str | None, shrinking: bool, keep: Path | None, as_json: bool,
 ) -> None:  # fmt: skip
     """Plays plan FILE (or a shipped one by name): processes of the program, with faults between them.
 
@@ -67,7 +72,7 @@
     if (file is not None) + quick + (seed is not None) != 1:
         raise SpecError("expected one of a FILE, --quick and --seed")
     if seed is not None:
-        plan = draw(seed, routers, caches, faults, seconds, rate)
+        plan = draw(seed, routers, caches, faults, seconds, rate, int(lists))
     else:
         plan = find("quick" if quick else file or "")
     if variant:
@@ -139,6 +144,19 @@
     sys.exit(1 if any(one["broken"] for one in done.values()) else 0)
 
 
+@click.command("lists")
+@click.option("--servers", type=click.IntRange(1, 5000), default=1000)
+@click.option("--watchers", type=click.IntRange(1, 4000), default=2000)
+@click.option("--changes", type=click.IntRange(2, 2000), default=50)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@guarded
+def list_scale(servers: int, watchers: int, changes: int, as_json: bool) -> None:
+    """Measures the list service with many watchers, beside its stand-in on the same work."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
+    rows = asyncio.run(scale.run(servers, watchers, changes))
+    click.echo(scale.as_json(rows) if as_json else scale.shown(rows))
+
+
 def called(plan: Plan, number: int) -> str:
     """What a table calls a fault of a plan."""
     return plan.faults[number].name or f"{number} {plan.faults[number].kind}"
