Let changes gather while thousands of watchers are told

Need: with 2,000 watchers every change cost the service a round of 2,000 answers, and writers waited behind them.

Change: after a round of waking, changes of the next 0.1 s are told together; the first after a quiet time is still told at once.

--- a/applehub/registry/watches.py
+++ b/applehub/registry/watches.py
@@ -9,6 +9,9 @@
 from applehub.registry.entries import Entries
 
 WOKEN = 64  # watchers woken in one turn of the loop, so that renewals and peers are not kept waiting
+REST = (
+    0.1  # s after a round of waking in which changes gather for the next: thousands of answers cost as much
+)
 ANSWERS = 64  # encoded answers kept
 
 
@@ -42,7 +45,7 @@
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[asyncio.Future[None], None] = {}
-        self._waking = False
+        self._waking = self._again = False
 
     async def wait(self, seconds: float) -> None:
         """Returns when there is a change, or the time is over."""
@@ -56,8 +59,11 @@
             self.waiting.pop(future, None)
 
     def wake(self) -> None:
-        """There is a change."""
-        if not self._waking:
+        """There is a change: told at once after a quiet time, else with those of the rest after the round
+        before."""
+        if self._waking:
+            self._again = True
+        else:
             self._waking = True
             self._some(list(self.waiting))
 
@@ -68,7 +74,13 @@
         if len(left) > WOKEN:
             self.loop.call_soon(self._some, left[WOKEN:])
         else:
-            self._waking = False
+            self.loop.call_later(REST, self._rested)
+
+    def _rested(self) -> None:
+        self._waking = False
+        if self._again:
+            self._again = False
+            self.wake()
 
 
 class Turns:
