Read and check TOML in one place for all programs beside the router

Need: the lab, the proving ground and the list service each had their own copy of reading a file and of wording its faults; the release controller would have been the fourth.

Change: applehub/checked.py; the stand-ins' callers by address likewise have one place.

Measured: the lab's, ground's and service's tests pass; the same lines for a file of no use.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -14,6 +14,7 @@
 from rich.table import Table
 
 from applehub import wirehost
+from applehub.checked import read_toml
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
@@ -43,12 +44,9 @@
     path = Path(file)
     if not path.exists() and (SHIPPED / f"{file}.toml").is_file():
         path = Path(str(SHIPPED / f"{file}.toml"))
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise SpecError(f"{file}: {problem.strerror or problem}; `lab list` names those shipped") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise SpecError(f"{file}: not TOML: {problem}") from None
+    if not path.exists():
+        raise SpecError(f"{file}: No such file or directory; `lab list` names those shipped")
+    raw = read_toml(path, SpecError)
     if seeds is not None:
         raw["seeds"] = {**(raw.get("seeds") or {}), "count": seeds}
     return make_plan(str(path), raw)
--- a/applehub/lab/fleet/listing.py
+++ b/applehub/lab/fleet/listing.py
@@ -11,7 +11,7 @@
 
 from applehub.events import Event, Writer
 from applehub.lab.fleet.control import Handler, Json
-from applehub.lab.live.standins import HttpPeer, Reply
+from applehub.lab.live.standins import Reply, addressed
 
 PATIENCE = 1.0  # s that a call waits for its turn
 
@@ -46,14 +46,6 @@
             return {"version": self.version}
         return {"version": self.version, "changed": self.changed, "entries": list(self.entries.values())}
 
-    def peer(self) -> HttpPeer:
-        async def handle(request: h11.Request, body: bytes) -> Reply:
-            assert peer.transport is not None
-            return await self.answer(peer.transport.get_extra_info("peername")[0], request)
-
-        peer = HttpPeer(handle)
-        return peer
-
     async def answer(self, address: str, request: h11.Request) -> Reply:
         router = self.sources.get(address, "")
         asked = parse_qs(urlsplit(request.target.decode()).query)
@@ -87,5 +79,7 @@
 
 async def begin(told: Json) -> tuple[Json, Handler]:
     listing = Listing(told, Writer(Path(told["events"]), told["name"], told["incarnation"]))
-    server = await asyncio.get_running_loop().create_server(listing.peer, "127.0.0.1", 0, backlog=512)
+    server = await asyncio.get_running_loop().create_server(
+        lambda: addressed(listing.answer), "127.0.0.1", 0, backlog=512
+    )
     return {"address": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}, listing.command
--- a/applehub/lab/fleet/plan.py
+++ b/applehub/lab/fleet/plan.py
@@ -1,14 +1,14 @@
 """A plan: which processes run, what is asked of them, what goes wrong when, and what must hold all the
 same."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from pydantic import Field, ValidationError, model_validator
+from pydantic import Field, model_validator
 
+from applehub.checked import Part, checked, read_toml
 from applehub.events import Event
-from applehub.lab.spec import Part, SpecError, problems_of
+from applehub.lab.spec import SpecError
 
 Positive = Annotated[float, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0)]
@@ -195,18 +195,9 @@
 
 def make_plan(name: str, raw: dict[str, Any]) -> Plan:
     """Checks what a file holds. Raises SpecError, a line for each fault."""
-    try:
-        return Plan.model_validate(raw)
-    except ValidationError as error:
-        raise SpecError(problems_of(name, error)) from None
+    return checked(name, Plan, raw, SpecError)
 
 
 def load_plan(path: Path) -> Plan:
     """Reads a plan's file. Raises SpecError."""
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise SpecError(f"{path}: {problem.strerror or problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise SpecError(f"{path}: not TOML: {problem}") from None
-    return make_plan(str(path), raw)
+    return make_plan(str(path), read_toml(path, SpecError))
--- a/applehub/lab/fleet/servers.py
+++ b/applehub/lab/fleet/servers.py
@@ -11,7 +11,7 @@
 
 from applehub.events import Event, Writer
 from applehub.lab.fleet.control import Handler, Json
-from applehub.lab.live.standins import HttpPeer, Reply
+from applehub.lab.live.standins import Reply, addressed
 from applehub.node.discovery import read_endpoint
 from applehub.node.resp import bulk, command
 
@@ -192,14 +192,6 @@
             if not writer.is_closing():
                 writer.write(words)
 
-    def peer(self) -> HttpPeer:
-        async def handle(request: h11.Request, body: bytes) -> Reply:
-            assert peer.transport is not None
-            return await self.answer(peer.transport.get_extra_info("peername")[0], request)
-
-        peer = HttpPeer(handle)
-        return peer
-
     async def answer(self, address: str, request: h11.Request) -> Reply:
         headers = dict(request.headers)
         name, key = headers[b"x-call-id"], request.target[1:]
@@ -235,6 +227,6 @@
         handler: Handler = cache.command
     else:
         origin = Origin(told, events)
-        server = await loop.create_server(origin.peer, "127.0.0.1", 0, backlog=512)
+        server = await loop.create_server(lambda: addressed(origin.answer), "127.0.0.1", 0, backlog=512)
         handler = origin.command
     return {"address": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}, handler
--- a/applehub/lab/live/standins.py
+++ b/applehub/lab/live/standins.py
@@ -224,3 +224,14 @@
     """A process of stand-ins: tells where they listen, then its counts whenever asked, until told to end."""
     with suppress(EOFError, KeyboardInterrupt):  # whoever started it is gone
         asyncio.run(_host(pipe, caches, size))
+
+
+def addressed(answer: Callable[[str, h11.Request], Awaitable[Reply]]) -> HttpPeer:
+    """A connection whose requests are answered by who asks: the caller's address, then the request."""
+
+    async def handle(request: h11.Request, body: bytes) -> Reply:
+        assert peer.transport is not None
+        return await answer(peer.transport.get_extra_info("peername")[0], request)
+
+    peer = HttpPeer(handle)
+    return peer
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -7,8 +7,9 @@
 import itertools
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, model_validator
 
+from applehub.checked import Part, checked, problems_of
 from applehub.settings import Json
 
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -22,12 +23,6 @@
     """An experiment's file is of no use; each line names the file, the key and what was expected."""
 
 
-class Part(BaseModel):
-    """A table of the file: unknown keys are errors."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
-
-
 class Kind(Part):
     """A model of cache server."""
 
@@ -408,15 +403,6 @@
     sweep: dict[str, Annotated[list[Any], Field(min_length=1)]] = {}
 
 
-def problems_of(path: str, error: ValidationError) -> str:
-    lines = []
-    for one in error.errors():
-        key = ".".join(str(step) for step in one["loc"]) or "the whole"
-        got = "" if one["type"] in ("missing", "value_error") else f", got {one['input']!r}"
-        lines.append(f"{path}: {key}: {one['msg']}{got}")
-    return "\n".join(lines)
-
-
 def _set(raw: Json, path: str, value: Any) -> None:
     """Sets a value by its dotted path; a number steps into a list."""
     at: Any = raw
@@ -433,10 +419,7 @@
     """Checks what a file holds; gives it and the points of its sweep, each with its settings.
 
     name is what errors call it. Raises SpecError, a line for each fault, where it makes no sense."""
-    try:
-        whole = Experiment.model_validate(raw)
-    except ValidationError as error:
-        raise SpecError(problems_of(name, error)) from None
+    whole = checked(name, Experiment, raw, SpecError)
     points: list[tuple[Json, Day]] = []
     day = {key: value for key, value in raw.items() if key in Day.model_fields}
     for values in itertools.product(*whole.sweep.values()):
--- a/applehub/registry/config.py
+++ b/applehub/registry/config.py
@@ -1,11 +1,11 @@
 """What a replica of the list service is told: a TOML file, checked whole."""
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+from pydantic import Field, field_validator, model_validator
 
+from applehub.checked import Part, checked, read_toml
 from applehub.node.discovery import ListError, read_endpoint
 
 Positive = Annotated[float, Field(gt=0)]
@@ -16,12 +16,6 @@
     """The file is of no use; a line for each fault names file, key and expectation."""
 
 
-class Part(BaseModel):
-    """A table of the file: unknown keys are errors."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
-
-
 class Timing(Part):
     """Of the agreement. The lease must be shorter than the least time of an election, by what clocks drift
     apart."""
@@ -104,23 +98,9 @@
 
 def parse(name: str, raw: dict[str, Any]) -> Config:
     """Checks what a file holds. Raises ConfigError."""
-    try:
-        return Config.model_validate(raw)
-    except ValidationError as error:
-        lines = []
-        for one in error.errors():
-            key = ".".join(map(str, one["loc"])) or "the whole"
-            got = "" if one["type"] in ("missing", "value_error") else f", got {one['input']!r}"
-            lines.append(f"{name}: {key}: {one['msg']}{got}")
-        raise ConfigError("\n".join(lines)) from None
+    return checked(name, Config, raw, ConfigError)
 
 
 def load(path: Path) -> Config:
     """Reads a file. Raises ConfigError."""
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as problem:
-        raise ConfigError(f"{path}: {problem.strerror or problem}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise ConfigError(f"{path}: not TOML: {problem}") from None
-    return parse(str(path), raw)
+    return parse(str(path), read_toml(path, ConfigError))
