--- a/applehub/registry/server.py
+++ b/applehub/registry/server.py
@@ -105,10 +105,12 @@
         staff.router.add_get("/metrics", self.scrape)
         found = []
         for app, told in ((public, self.config.listen), (staff, self.config.staff)):
-            runner = web.AppRunner(app, access_log=None, keepalive_timeout=75, handler_cancellation=True)
+            runner = web.AppRunner(
+                app, access_log=None, keepalive_timeout=75, handler_cancellation=True, shutdown_timeout=0.5
+            )
             await runner.setup()
             host, _, port = told.rpartition(":")
-            site = web.TCPSite(runner, host, int(port), backlog=1024, shutdown_timeout=0.5)
+            site = web.TCPSite(runner, host, int(port), backlog=1024)
             await site.start()
             self.runners.append(runner)
             self.sites.append(site)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -15,15 +15,18 @@
 import pytest
 from click.testing import CliRunner
 
+from applehub.events import Event, Writer, read
 from applehub.lab.__main__ import main
 from applehub.lab.fleet.ground import claim_block
 from applehub.lab.fleet.processes import environment
 from applehub.registry import raft, wire
 from applehub.registry.config import ConfigError, parse
-from applehub.registry.entries import Entries
+from applehub.registry.entries import BASE_STEP, Entries
+from applehub.registry.host import Host
 from applehub.registry.leases import MILLI, SECOND, Leases
 from applehub.registry.model import CALM, MUTANTS, STARTS, Bounds, Coarse, Fine, begin, explore, walks
 from applehub.registry.raft import Append, Entry, Replica, Save, Saved, Snapshot
+from applehub.registry.server import Service
 from applehub.registry.store import Store, StoreError
 
 # Where each mutant shows itself, and how deep the good replica is seen whole from there.
@@ -223,6 +226,87 @@
     assert all(one["together"] > 0 and 0 < one["told_p50"] <= one["told_p99"] for one in rows)
 
 
+async def test_writers_staff_and_watchers_of_one_replica(tmp_path: Path) -> None:
+    config = parse("x", {"name": "a", "state_dir": str(tmp_path / "a"), "leases": {"look_ms": 20}})
+    host = Host(0, {}, raft.Timing(), Store(config.state_dir), 100, 3)  # cuts its log every third entry
+    out = (tmp_path / "events").open("wb")
+    service = Service(config, host, Writer(out, "a", 0))
+    await host.start()
+    listen, staff = await service.start()
+    body = {"endpoint": "127.0.0.1:1", "az": "a", "model": "m", "endpoints": {"v": "127.0.0.1:2"}}
+    async with asyncio.timeout(60), aiohttp.ClientSession() as session:
+
+        async def ask(method: str, path: str, body: object = None) -> tuple[int, Any]:
+            async with session.request(method, f"http://{staff}{path}", json=body) as answer:
+                return answer.status, await answer.json()
+
+        async def targets(query: str = "") -> tuple[int, Any]:
+            async with session.get(f"http://{listen}/api/targets{query}") as answer:
+                return answer.status, await answer.json() if answer.status == 200 else None
+
+        while not host.is_primary():
+            await asyncio.sleep(0.01)
+        assert await targets() == (200, {"rev": 0, "all": True, "targets": []})
+        status, told = await ask("PUT", "/v1/servers/s", body)
+        first = told["entry"]
+        assert status == 200 and first >= BASE_STEP
+        assert await ask("PUT", "/v1/servers/s?expected=0", body) == (200, told)  # the same again
+        assert (await ask("PUT", "/v1/servers/s?expected=0", {**body, "az": "b"}))[0] == 409
+        assert (await ask("PUT", "/v1/servers/s?expected=x", body))[0] == 400
+        status, told = await ask("PUT", "/v1/servers/s", {"endpoint": "x", "more": 1})
+        assert status == 400 and [one["key"] for one in told["faults"]] == ["endpoint", "az", "model", "more"]
+        for path, wrong in (("s/state", {"state": "Ill"}), ("s/state", [])):
+            assert (await ask("POST", f"/v1/servers/{path}", wrong))[0] == 400
+        for method, path in (("POST", "t/renew"), ("DELETE", "t")):
+            assert (await ask(method, f"/v1/servers/{path}"))[0] == 404
+
+        watch = asyncio.create_task(targets(f"?from={first}&hold_ms=60000"))
+        while not service.watchers.waiting:
+            await asyncio.sleep(0.01)
+        assert (await ask("POST", "/v1/servers/s/state", {"state": "Terminating"}))[0] == 200
+        _, told = await watch
+        assert told["rev"] == first + 1 and not told["all"]
+        assert told["targets"] == [
+            {
+                "uid": "s", "state": "Terminating", "endpoint": "127.0.0.1:1", "az": "a", "model": "m",
+                "pod_group": 0, "capacity_hint": 1.0, "boot_ms": 0,
+            }
+        ]  # fmt: skip
+        assert await targets(f"?from={first + 1}&hold_ms=0") == (200, {**told, "targets": []})
+        assert (await targets(f"?from={first + 99}"))[1]["all"]  # a version of another history
+        assert (await targets("?from=x"))[0] == 400
+        service.retune(parse("x", {**config.model_dump(mode="json"), "views": {"127.0.0.1": "v"}}))
+        assert (await targets())[1]["targets"][0]["endpoint"] == "127.0.0.1:2"
+
+        for name in ("l0", "l1", "l2"):
+            assert (await ask("PUT", f"/v1/servers/{name}", {**body, "lease_ms": 60_000}))[0] == 200
+        long_ago = time.monotonic_ns() - 121 * SECOND
+        service.leases.renewed = dict.fromkeys(("l0", "l1", "l2"), long_ago)
+        while not service.leases.braked:  # none has renewed: too many at once to be believed
+            await asyncio.sleep(0.01)
+        assert all(one.state != "Gone" for one in host.entries.entries.values())
+        for name in ("l1", "l2"):
+            assert (await ask("POST", f"/v1/servers/{name}/renew"))[0] == 200
+        while host.entries.entries["l0"].state != "Gone":  # the others have: one is gone
+            await asyncio.sleep(0.01)
+        _, told = await ask("GET", "/v1/servers")
+        assert {one["uid"] for one in told["servers"] if one["state"] == "Gone"} == {"l0"}
+        async with session.get(f"http://{staff}/metrics") as answer:
+            assert "list_primary 1.0" in await answer.text()
+        service.turns.free_at = service.loop.time() + 1000  # too many whole lists are asked for
+        async with session.get(f"http://{listen}/api/targets") as answer:
+            assert answer.status == 503 and int(answer.headers["Retry-After"]) > 900
+        host.replica.role = raft.Role.FOLLOWER  # it has lost the lead
+        status, told = await ask("PUT", "/v1/servers/s", {**body, "az": "c"})
+        assert status == 503 and told["error"] == "not the primary"
+    await service.stop()
+    await host.stop()
+    out.close()
+    assert host.replica.snapshot.place > 0
+    kinds = [one.event for one in read(tmp_path / "events")]
+    assert {Event.LEADS, Event.LISTED, Event.BRAKE} <= set(kinds)
+
+
 class Group:
     """Three replicas as processes."""
 
