--- a/applehub/registry/entries.py
+++ b/applehub/registry/entries.py
@@ -13,7 +13,6 @@
 
 Json = dict[str, Any]
 STATES = ("Ready", "Terminating", "Gone")
-FIELDS = ("endpoint", "az", "model", "pod_group", "capacity_hint", "boot_ms")
 BASE_STEP = 1 << 20  # versions to a second of the wall clock, for a fresh list's first
 
 
