Cut the module along its concerns into a package of its own, no decision changed

Change: applehub/policy/ in place of logic.py: rates, throttle, keys, servers (one server, one kind), roster (the list, what answers told), placement, tenants, job, turn (time, actions and agenda of an event), balancer (admission, retries).

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -12,7 +12,6 @@
 
 from applehub import interface as api
 from applehub.interface import Settings
-from applehub.logic import Balancer
 from applehub.node.byhand import ByHand
 from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
@@ -21,6 +20,7 @@
 from applehub.node.figures import Figures
 from applehub.node.pool import Endpoint, Pools
 from applehub.node.shared import Shared
+from applehub.policy import Balancer
 from applehub.settings import (
     Ceilings,
     Json,
--- a/applehub/lab/berger.py
+++ b/applehub/lab/berger.py
@@ -15,7 +15,9 @@
 from applehub import interface as api
 from applehub.lab.compare import Mean, mean_of
 from applehub.lab.streams import generator
-from applehub.logic import SECOND, Job, Throttle
+from applehub.policy.job import Job
+from applehub.policy.rates import SECOND
+from applehub.policy.throttle import Throttle
 
 PARTS = 20  # of a play, each with a mean of its own: their spread gives the confidence interval
 RATE = 100.0  # tokens a second
--- a/applehub/lab/cost.py
+++ b/applehub/lab/cost.py
@@ -8,7 +8,7 @@
 from applehub.lab.clock import MILLI, SECOND
 from applehub.lab.spec import Day, settings_of
 from applehub.lab.streams import Draws
-from applehub.logic import Balancer
+from applehub.policy import Balancer
 from applehub.settings import read_settings
 
 OUT = 8  # requests that are under way at a time
--- a/applehub/lab/policies.py
+++ b/applehub/lab/policies.py
@@ -11,7 +11,7 @@
 from applehub import interface as api
 from applehub.lab.origin import OriginServer
 from applehub.lab.servers import CacheServer
-from applehub.logic import Balancer
+from applehub.policy import Balancer
 from applehub.wirehost import Decider
 
 POINTS = 64  # of each server on the ring
--- a/applehub/lab/runner.py
+++ b/applehub/lab/runner.py
@@ -21,7 +21,7 @@
 from applehub.lab.spec import Day, Experiment, read_raw
 from applehub.settings import Json
 
-DECIDING = ("logic.py", "interface.py", "settings.py")  # beside the lab, what figures depend on
+DECIDING = ("interface.py", "settings.py")  # beside lab and policy, what figures depend on
 
 
 class ResultsError(ValueError):
@@ -65,7 +65,8 @@
 def program_hash() -> str:
     """Of the sources that decide a play's figures: records of two programs are not mixed."""
     root = Path(applehub.__file__).parent
-    files = sorted((root / "lab").glob("*.py")) + [root / name for name in DECIDING]
+    files = sorted((root / "lab").glob("*.py")) + sorted((root / "policy").glob("*.py"))
+    files += [root / name for name in DECIDING]
     whole = hashlib.sha256()
     for file in files:
         whole.update(file.name.encode() + b"\0" + file.read_bytes() + b"\0")
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -18,7 +18,7 @@
 from applehub.lab.streams import Draws, generator
 from applehub.lab.tries import Asked, Place
 from applehub.lab.workload import base_rate, draw_workload
-from applehub.logic import KeyRanges
+from applehub.policy.keys import KeyRanges
 from applehub.settings import Json, read_settings
 from applehub.wirehost import Decider
 
--- a/applehub/node/__init__.py
+++ b/applehub/node/__init__.py
@@ -1,1 +1,1 @@
-"""The real router: the decisions of applehub.logic on real sockets."""
+"""The real router: the decisions of applehub.policy on real sockets."""
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -9,13 +9,13 @@
 from typing import Protocol
 
 from applehub import interface as api
-from applehub.logic import Balancer
 from applehub.node import resp
 from applehub.node.call import Call, Ending, Exchange
 from applehub.node.figures import Answered, Figures
 from applehub.node.pool import Pools
 from applehub.node.room import Room
 from applehub.node.stream import Source, Stream
+from applehub.policy import Balancer
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
--- /dev/null
+++ b/applehub/policy/job.py
@@ -0,0 +1,24 @@
+"""A request that a router holds."""
+
+from dataclasses import dataclass, field
+
+from applehub import interface as api
+from applehub.policy.servers import Server
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request this router holds, with what its attempts have proved so far."""
+
+    request: api.Request
+    spec: api.RequestClass
+    due: int  # until when it is worth its full: the end of its aim, or its deadline if that is sooner
+    marked: bool = False  # over its tenant's share
+    likely_miss: bool = False  # its key was not lately seen hit; in through mode, not lately sent
+    skip: int = 0  # owners of a hot key's ranges that this request passes by
+    at_origin: bool = False  # a write, or a read that missed
+    apart: bool = False  # what becomes of its origin read tells nothing of the caches
+    made: int = 0  # attempts so far
+    live: dict[int, tuple[Server, int]] = field(default_factory=dict)  # may have run: where, when sent
+    out: set[int] = field(default_factory=set)
+    tried: set[str] = field(default_factory=set)
--- /dev/null
+++ b/applehub/policy/keys.py
@@ -0,0 +1,94 @@
+"""Where keys lie, which are asked for most, and which were lately seen."""
+
+from collections.abc import Iterator
+from itertools import chain, islice
+from zlib import crc32
+
+from applehub.policy.rates import SMOOTHING
+
+KEYS_KEPT = 1 << 14  # keys remembered; the oldest are forgotten first
+DEALS_KEPT = 32  # lists remembered while keys move from one to the next
+SAMPLES = 8  # requests counted for each server before old ones count half
+UNKNOWN = 63  # the age of keys that are not remembered
+
+
+class KeyRanges:
+    """The hash space in equal ranges, dealt to the sorted ids of a list. Guards against a remap flood: once
+    a turn each key takes up the list, at an instant its hash gives; so too a cold server's part grows."""
+
+    def __init__(self, turn: int) -> None:
+        self.turn = max(1, turn)
+        self.deals: list[tuple[int, list[str]]] = [(0, [])]
+
+    def deal(self, now: int, names: list[str]) -> None:
+        """Notes a new list; deals that every key has left behind are forgotten."""
+        if names == self.deals[-1][1]:
+            return
+        self.deals.append((now, names))
+        done = max(n for n, (since, _) in enumerate(self.deals) if n < 1 or since <= now - self.turn)
+        self.deals = self.deals[max(done, not self.deals[0][1]) :][-DEALS_KEPT:]
+
+    def locate(self, key: str, now: int) -> tuple[float, int, str, Iterator[str]]:
+        """How deep in its range a key lies, when it last took up a list, the owner of its range in that list,
+        and where to look for it: there, with its owner by now, then with the next in range order."""
+        code, order = crc32(key.encode()), self.deals[-1][1]
+        at = now - (now - ((code & 0xFFFF) * self.turn >> 16)) % self.turn
+        held = next((names for since, names in reversed(self.deals) if since <= at), self.deals[0][1])
+        start, depth = divmod(code * len(order), 1 << 32)
+        owner = (held and held[code * len(held) >> 32]) or (order[start] if order else "")
+        return depth / 2**32, at, owner, self._around(owner, order, start)
+
+    @staticmethod
+    def _around(owner: str, order: list[str], start: int) -> Iterator[str]:
+        """Guards a large fleet's processor time: mostly the first will do, and the others are not named."""
+        if order or owner:
+            yield owner
+        for name in chain(islice(order, start, None), islice(order, start)):
+            if name != owner:
+                yield name
+
+
+class Popularity:
+    """How often each key was asked for among this router's latest requests."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, int] = {}
+        self.total = 0
+
+    def fills(self, key: str, servers: int) -> int:
+        """Counts a request; tells how many servers' fair shares of all requests its key makes up."""
+        if self.total >= SAMPLES * max(1, servers):
+            self.seen = {name: count // 2 for name, count in self.seen.items() if count > 1}
+            self.total //= 2
+        self.total += 1
+        before = self.seen.get(key, 0) * servers
+        self.seen[key] = self.seen.get(key, 0) + 1
+        return 2 * before // self.total if before >= self.total else 0  # a server bears about two
+
+
+class KeyMemory:
+    """Which keys were lately seen hit, and up to which age that made another hit likely."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, int] = {}
+        # By the logarithm of the age; the last is for keys not remembered, taken as misses until seen to hit.
+        self.hit_share = [1.0] * UNKNOWN + [0.0]
+
+    def _age(self, key: str, now: int) -> int:
+        return (now - self.seen[key] >> 26).bit_length() if key in self.seen else UNKNOWN
+
+    def likely_miss(self, key: str, now: int) -> bool:
+        return self.hit_share[self._age(key, now)] < 0.5
+
+    def learn(self, key: str, now: int, hit: bool) -> None:
+        age = self._age(key, now)
+        self.hit_share[age] += (hit - self.hit_share[age]) * SMOOTHING
+        self.seen.pop(key, None)
+        if hit:
+            self.put(key, now)
+
+    def put(self, key: str, now: int) -> None:
+        self.seen.pop(key, None)
+        self.seen[key] = now
+        if len(self.seen) > KEYS_KEPT:
+            del self.seen[next(iter(self.seen))]
--- /dev/null
+++ b/applehub/policy/rates.py
@@ -0,0 +1,50 @@
+"""How often things happen: averages that forget, and banks of tokens."""
+
+import math
+
+SECOND = 1_000_000_000
+SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
+
+
+def weight_of(gap: int, span: int) -> float:
+    """The weight of a sample that comes this long after the last.
+    Guards against a fleet so wide that answers come seldom: each counts for the time since the last."""
+    return min(max(gap / span, SMOOTHING), 1 / 2)
+
+
+class Rate:
+    """How often something happened lately, in events a second, with exponential forgetting."""
+
+    __slots__ = ("at", "mass", "span")
+
+    def __init__(self, span: int, now: int = 0) -> None:
+        self.span, self.mass, self.at = span, 0.0, now
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        self.mass = self.mass * math.exp((self.at - now) / self.span) + amount
+        self.at = now
+
+    def stretch(self, now: int, span: int) -> None:
+        """Forgets over another span from now on; the rate stays."""
+        self.add(now, 0.0)
+        self.mass, self.span = self.mass * span / self.span, span
+
+    def per_second(self, now: int) -> float:
+        return self.mass * math.exp((self.at - now) / self.span) * SECOND / self.span
+
+
+class Bank:
+    """Tokens refilled evenly at a rate given with each use; those that reach a full bank are lost."""
+
+    __slots__ = ("at", "tokens")
+
+    def __init__(self, tokens: float = 1.0, at: int = 0) -> None:
+        self.tokens, self.at = tokens, at
+
+    def take(self, now: int, rate: float, most: float) -> bool:
+        self.tokens = min(self.tokens + rate * (now - self.at) / SECOND, max(1.0, most))
+        self.at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/applehub/policy/roster.py
@@ -0,0 +1,215 @@
+"""The servers of the current list, with what their answers have told."""
+
+from dataclasses import replace
+
+from applehub import interface as api
+from applehub.policy.job import Job
+from applehub.policy.keys import KeyRanges
+from applehub.policy.rates import SECOND, SMOOTHING, Bank, Rate, weight_of
+from applehub.policy.servers import Kind, Server
+from applehub.policy.turn import Turn
+
+ANSWERS = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
+LIST_PAUSE = 2 * SECOND  # the longest from a failed call to discovery until the next
+BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
+
+
+class Roster:
+    """Who is listed, who is left out, who is cold; learns from each attempt's end."""
+
+    def __init__(self, turn: Turn) -> None:
+        self.turn = turn
+        self.servers: dict[str, Server] = {}
+        self.by_hand: set[str] = set()  # left out, whatever the list says
+        self.put_back: dict[str, int] = {}  # and when those that were are cold since
+        self.copies = 1  # processes that serve as this router now
+        self.origin: Server | None = None
+        self.ranges = KeyRanges(turn.settings.ramp_time)
+        self.kinds: dict[int, Kind] = {}
+        self.flow = Rate(4 * turn.shortest_aim)  # of requests
+        self.crowded = 0.0  # part of the latest new connects that were refused at once
+
+    def retuned(self) -> None:
+        """Other settings hold; what is learned of servers stays."""
+        self.ranges.turn = max(1, self.turn.settings.ramp_time)
+        self.flow.stretch(self.turn.now, 4 * self.turn.shortest_aim)
+        self._deal()
+
+    @property
+    def avoided(self) -> int:
+        """How many listed cache servers are left out now, by hand or by choice."""
+        return sum(
+            name in self.by_hand or (server.fails > 0 and not server.open(self.turn.now))
+            for name, server in self.servers.items()
+            if server is not self.origin
+        )
+
+    def on_members(self, event: api.Members) -> None:
+        if event.kind is api.ListKind.FAILED:
+            # Guards the rule on drains: what discovery has to tell counts as told some seconds later, heard
+            # or not, so an outage is no reason to stay away for longer and longer.
+            wait = min(LIST_PAUSE, self.turn.settings.ask_within) * self.turn.random.uniform(0.5, 1)
+            self.turn.log(f"list unavailable, asked again in {wait / 1e6:.0f} ms")
+            self.turn.later(int(wait), self._ask)
+            return
+        if event.kind is api.ListKind.CACHED and self.turn.settings.must_ask:
+            self._ask(None)
+        if event.kind is not api.ListKind.DELTA:
+            named = {entry.server for entry in event.entries}
+            for name in [name for name in self.servers if name not in named]:
+                self._member(api.Member(name, api.State.GONE), True)
+        for entry in event.entries:
+            self._member(entry, event.kind is api.ListKind.CACHED)
+        self._deal()
+
+    def on_by_hand(self, event: api.ByHand) -> None:
+        server = self.servers.get(event.server)
+        if event.out:
+            self.by_hand.add(event.server)
+        else:
+            self.by_hand.discard(event.server)
+            self.put_back[event.server] = event.since
+        if server is None:
+            return
+        if not event.out:
+            # Restarted while it was out: what it did before tells nothing, and no list may tell of its start.
+            server.fails = server.refusals = server.breaks = 0
+            self._chill(server, max(server.cold_since, event.since))
+        self._set_state(server, server.listed)
+        self._deal()
+
+    def _set_state(self, server: Server, listed: api.State) -> None:
+        out = server.member.server in self.by_hand
+        server.listed = listed
+        server.member = replace(server.member, state=api.State.DRAINING if out else listed)
+
+    def on_copies(self, event: api.Copies) -> None:
+        self.copies = event.count
+
+    def _deal(self) -> None:
+        origin_kind = self.turn.settings.origin_kind if self.turn.settings.aside else -1
+        ready = [server for server in self.servers.values() if server.member.state is api.State.READY]
+        caches = [server for server in ready if server.member.kind != origin_kind]
+        self.ranges.deal(self.turn.now, sorted(server.member.server for server in caches))
+        mean = sum(server.member.weight for server in caches) / max(1, len(caches))
+        for server in caches:  # guards against an equal range for an unequal machine: the small bear less
+            server.size = server.member.weight / mean if mean else 1.0
+        self.origin = next((server for server in ready if server.member.kind == origin_kind), None)
+
+    def _member(self, entry: api.Member, old: bool) -> None:
+        if entry.state is api.State.GONE:
+            gone = self.servers.pop(entry.server, None)
+            if gone is not None:
+                if self.kind(gone).least is gone:
+                    self.kind(gone).least = None
+                gone.member = entry
+            return
+        server = self.servers.get(entry.server)
+        if server is None:
+            server = Server(entry, self.turn.shortest_aim / 8, learned_at=self.turn.now)
+            self.servers[entry.server] = server
+            # New to the list, with no start time told: taken as cold.
+            since = entry.since if old or entry.since else self.turn.now
+            self._chill(server, max(since, self.put_back.get(entry.server, 0)))
+        elif entry.since > server.member.since:
+            self._chill(server, max(server.cold_since, entry.since))
+            server.fails = 0
+        if entry.kind != server.member.kind:
+            self.kind(server).least = None
+        server.member = entry
+        self._set_state(server, entry.state)
+
+    def _chill(self, server: Server, since: int) -> None:
+        """Takes a server as cold since then. Guards against a first token from each of many routers at once:
+        the first falls due after a part of its time that each router draws."""
+        server.cold_since, server.budget = since, Bank(self.turn.random.random(), self.turn.now)
+
+    def _ask(self, _: Job | None) -> None:
+        self.turn.actions.append(api.Watch())
+
+    def warmth(self, server: Server) -> float:
+        """The part of its full capacity that a server has by now at the least."""
+        age, cold = self.turn.now - server.cold_since, self.turn.settings.cold_from
+        return min(1.0, cold + (1 - cold) * age / max(1, self.turn.settings.ramp_time))
+
+    def pace(self, server: Server) -> float:
+        """How seldom each router may try a swamped server, so that all together send what one core serves."""
+        return self.turn.settings.balancers * self.copies * self.kind(server).uncrowded
+
+    def kind(self, server: Server) -> Kind:
+        kind = self.kinds.get(server.member.kind)
+        if kind is None:
+            kind = self.kinds[server.member.kind] = Kind()
+        return kind
+
+    def _failed_part(self, event: api.Outcome) -> float:
+        """The part of a server's answers that are errors, by this one, or by its report beside its equal part
+        of what all routers are asked."""
+        if event.status is api.Status.ERROR:
+            return 1.0
+        if event.load is None or event.load.eps <= 0:
+            return 0.0
+        servers = max(1, len(self.ranges.deals[-1][1]))
+        mean = self.flow.per_second(self.turn.now) * self.turn.settings.balancers / servers
+        return min(1.0, event.load.eps / max(1.0, mean))
+
+    def _fails_most(self, server: Server) -> bool:
+        """Guards against a server that fails most of what it is sent, and so quickly that it seems idle.
+        Where caches fetch, an error may be the origin's; and the origin has no stand-in."""
+        return self.turn.settings.aside and server is not self.origin and server.errors > 1 / 2
+
+    def _away(self, server: Server, refused: bool) -> float:
+        """The longest that a failed server is left alone. Guards against a trial from each of many routers as
+        it comes back: what refused twice may be cold then, and all together send what it can do so."""
+        wait = float(self.turn.settings.connect_timeout << min(server.fails, 4))
+        if refused and server.fails > 1:
+            wait = max(wait, self.pace(server) / max(self.turn.settings.cold_from, SMOOTHING / 2))
+        return wait
+
+    def observe(self, server: Server, event: api.Outcome) -> None:
+        """Takes up how an attempt at a server ended."""
+        turn, now, status, load = self.turn, self.turn.now, event.status, event.load
+        server.out = max(0, server.out - 1)
+        if load is not None and load.inflight >= 0 and load.latency_ms > 0:
+            server.load, server.load_at = load, now
+        if status in ANSWERS:
+            server.errors += (self._failed_part(event) - server.errors) * weight_of(
+                now - server.answered_at, 2 * turn.shortest_aim
+            )
+            server.answered_at = now
+        refused = status is api.Status.CONNECT_FAILED
+        failing = status is api.Status.ERROR and self._fails_most(server)
+        answered = not failing and status in ANSWERS
+        if not server.linked and not server.fails and event.elapsed < turn.settings.connect_timeout:
+            self.crowded += (refused - self.crowded) * SMOOTHING
+        server.linked = not refused
+        # Guards against a network that breaks connections: one that broke says nothing of the process. One
+        # that died refuses the next connect.
+        server.breaks = server.breaks + 1 if status is api.Status.RESET else server.breaks * (not answered)
+        failed = refused or failing or (status is api.Status.RESET and server.breaks >= BREAKS)
+        if failed:
+            if not server.fails:
+                server.down_since = now
+                state = "fails what it is sent" if failing else "unreachable"
+                turn.log(f"server {event.server} {state}")
+            server.fails += 1
+            server.refusals += refused
+            server.down_until = now + int(self._away(server, refused) * turn.random.uniform(0.5, 1))
+        elif server.fails and answered:
+            turn.log(f"server {event.server} answers again")
+            away = server.refusals > 1 and now - server.down_since > SECOND
+            server.fails = server.refusals = 0
+            if away and self.crowded <= 1 / 2:
+                self._chill(server, now)  # a process that died comes back cold, before the list tells
+        # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
+        full, missed = status is api.Status.FULL, status is api.Status.MISS
+        elapsed = turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
+        if full or status in (api.Status.OK, api.Status.TIMEOUT) or (missed and server.trial):
+            server.learn(now, 2 * turn.shortest_aim, elapsed, server.out + 1)
+            self.kind(server).learned(server, self.servers.values())
+        if full or missed or status in (api.Status.OK, api.Status.TIMEOUT):
+            # Guards against a router that sees little of a server: who waits there tells what others send.
+            slow = elapsed > turn.shortest_aim // 2
+            server.bear(now, event.elapsed, slow)
+            if server is not self.origin and not 0 < server.cold_since > now - turn.settings.ramp_time:
+                self.kind(server).bear(slow)
--- /dev/null
+++ b/applehub/policy/servers.py
@@ -0,0 +1,109 @@
+"""What one router has seen of one server, and of all servers of a kind."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from applehub import interface as api
+from applehub.policy.rates import SECOND, SMOOTHING, Bank, weight_of
+
+SLOW = 3 / 4  # part of a request's aim past which an answer is slow and its server swamped
+KIND_STEP = 1 / 16  # part of a kind's share that a slow answer of one of its servers takes
+
+
+@dataclass(slots=True, eq=False)
+class Kind:
+    """What this router has seen of all servers of one kind: of each alone it may see too little."""
+
+    uncrowded: float = 0.0  # the least answer time of one of them, ns
+    least: "Server | None" = None  # whose that is, as far as it is known
+    share: float = 1.0  # the part of an equal range that one of them bears
+
+    def bear(self, slow: bool) -> None:
+        """As a server's own share, in smaller steps, since many answers of each jam come here."""
+        self.share = min(self.share + KIND_STEP / 4, 1.0) if not slow else self.share * (1 - KIND_STEP)
+        self.share = max(self.share, SMOOTHING)
+
+    def learned(self, server: "Server", all_servers: Iterable["Server"]) -> None:
+        """Takes up a server's new answer time when uncrowded. Guards a large fleet's processor time: all are
+        looked through only when the one with the least has grown slower, or is gone."""
+        if self.least is None or (server is self.least and server.base > self.uncrowded):
+            kind = server.member.kind
+            alike = (one for one in all_servers if one.base and one.member.kind == kind)
+            self.least = min(alike, key=lambda one: one.base)
+        elif server.base < self.uncrowded:
+            self.least = server
+        self.uncrowded = self.least.base
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this router has seen of one server."""
+
+    member: api.Member  # as the list has it, but draining while it is out by hand
+    latency: float  # moving average of answer times, ns
+    base: float = 0.0  # its answer time when uncrowded: the least average seen, slowly forgotten
+    learned_at: int = 0
+    held: float = 1.0  # moving average of the attempts this router had out meanwhile
+    out: int = 0
+    sent_at: int = 0
+    fails: int = 0  # in a row: connects failed, attempts broken past BREAKS, errors of a failing server
+    refusals: int = 0  # connects failed among them
+    errors: float = 0.0  # part of its latest answers that were errors
+    answered_at: int = 0
+    breaks: int = 0  # attempts in a row that broke after they were sent
+    down_since: int = 0
+    down_until: int = 0
+    budget: Bank = field(default_factory=Bank)  # of what it may be sent while it warms up
+    share: float = 1.0  # the part of its range that it bears
+    cut_at: int = 0
+    linked: bool = False  # it took this router's last connect
+    size: float = 1.0  # its listed weight by the fleet's mean
+    cold_since: int = 0  # 0: warm since long ago
+    trial: bool = False  # what is out was sent to see whether it has recovered
+    load: api.Load | None = None
+    load_at: int = 0
+    listed: api.State = api.State.READY
+
+    def predict(self) -> float:
+        """The answer time to expect of one more request, if it grows with what this router has out."""
+        return self.latency * (self.out + 1) / self.held
+
+    def reported(self, now: int) -> float:
+        """The same by the server's last report, while that is fresh: it tells what other routers send."""
+        load = self.load
+        if load is None or now - self.load_at > SECOND:
+            return 0.0
+        busy = max(1.0, load.qps * load.latency_ms / 1000)  # cores at work, by Little's law
+        return load.latency_ms * 1e6 * (load.inflight + 1) / busy
+
+    def calm(self, now: int, limit: float, crowd: int, pace: float) -> bool:
+        """Whether one more request is answered within the limit, and crowd times its uncrowded answer time.
+        A swamped server gets one trial an answer time and no two within pace, so that it can recover."""
+        own, reported = self.predict(), self.reported(now)
+        if own <= min(limit, crowd * (self.base or limit)) and reported <= limit * crowd / 2:
+            return True
+        if self.out or now - self.sent_at < max(own, reported, pace):
+            return False
+        self.trial = True
+        return True
+
+    def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
+        weight = 1 / 2 if self.trial else weight_of(now - self.learned_at, span)
+        self.learned_at = now
+        self.latency += (elapsed - self.latency) * weight
+        self.held += (out - self.held) * SMOOTHING
+        self.base = min(self.base * (1 + SMOOTHING / 16) or self.latency, self.latency)
+        self.trial = False
+
+    def bear(self, now: int, elapsed: int, slow: bool) -> None:
+        """A slow answer cuts the share of its range by a quarter, once a jam; a quick one adds a part."""
+        if not slow:
+            self.share = min(self.share + SMOOTHING / 2, 1.0)
+        elif now - elapsed >= self.cut_at:
+            self.share, self.cut_at = max(self.share * 3 / 4, SMOOTHING), now
+
+    def open(self, now: int) -> bool:
+        """Whether it may be tried: one at a time after a failure, until it answers."""
+        return self.member.state is api.State.READY and (
+            not self.fails or (now >= self.down_until and not self.out)
+        )
--- a/applehub/wirehost.py
+++ b/applehub/wirehost.py
@@ -8,7 +8,7 @@
 import orjson
 
 from applehub import interface as io
-from applehub.logic import Balancer
+from applehub.policy import Balancer
 from applehub.settings import LOAD, Json, SettingError, read_settings
 
 STATUS = {
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -204,7 +204,7 @@
     **ceilings: Any,
 ) -> AsyncIterator[Bench]:
     """One router with one cache server and one origin, wired as the program does it."""
-    from applehub.logic import Balancer
+    from applehub.policy import Balancer
 
     peers = Cache(cache), Web(origin)
     for peer in peers:
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,8 @@
 """Small helpers of the tests: settings, events and a router driven step by step."""
 
 from applehub import interface as api
-from applehub.logic import Balancer, Server
+from applehub.policy import Balancer
+from applehub.policy.servers import Server
 
 SECOND = 1_000_000_000
 MILLI = 1_000_000
@@ -95,7 +96,7 @@
 
     def candidates(self, key: str) -> list[Server]:
         balancer = self.balancer
-        return [balancer.servers[name] for name in balancer.ranges.locate(key, self.now)[3]]
+        return [balancer.roster.servers[name] for name in balancer.roster.ranges.locate(key, self.now)[3]]
 
     def serve(self, key: str) -> str:
         """Lets a key be fetched and stored; gives the server that holds it."""
@@ -121,7 +122,7 @@
         """Lets the owner of a key fail all it is sent until the router leaves it alone; gives its name."""
         name = self.candidates(key)[0].member.server
         for _ in range(100):
-            if self.balancer.servers[name].fails:
+            if self.balancer.roster.servers[name].fails:
                 break
             _, (send,) = self.ask(key)
             assert isinstance(send, api.Send)
--- a/tests/test_byhand.py
+++ b/tests/test_byhand.py
@@ -61,7 +61,7 @@
     if relisted:
         router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", api.State.GONE)]))
         router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=back - 15 * SECOND)]))
-    assert router.balancer.servers["c1"].cold_since == back
+    assert router.balancer.roster.servers["c1"].cold_since == back
 
 
 def test_a_server_that_drains_by_the_list_stays_draining_when_it_is_put_back() -> None:
@@ -77,10 +77,10 @@
         router = Router(settings(ramp_time=60 * SECOND))
         sent_to(router, 200)
         router.tell(api.Copies(copies))
-        server = router.balancer.servers["c1"]
+        server = router.balancer.roster.servers["c1"]
         server.budget.tokens, server.budget.at = 9.0, router.now
         server.cold_since = router.now
-        return sum(router.balancer._in_budget(server, 4) for _ in range(9))
+        return sum(router.balancer.placement._in_budget(server, 4) for _ in range(9))
 
     assert (taken(1), taken(2)) == (2, 1)
 
@@ -104,14 +104,17 @@
             with pytest.raises(CallError):
                 hands.online(name)
         assert [hands.offline("c1"), hands.offline("c1")] == ["+OK", "+OK"]
-        assert bench.pools.pools["c1"].retired and balancer.servers["c1"].member.state is api.State.DRAINING
+        assert (
+            bench.pools.pools["c1"].retired
+            and balancer.roster.servers["c1"].member.state is api.State.DRAINING
+        )
         bench.directory.take({"rev": 6, "all": True, "targets": two(bench.cache, bench.origin)})
         assert bench.pools.pools["c1"].retired and bench.directory.can_serve
         hands.offline("c0")
         assert not bench.directory.can_serve and bench.directory.size == 2
         assert [hands.online("c1"), hands.online("c1")] == ["+OK", "+OK"]
         assert not bench.pools.pools["c1"].retired and bench.directory.can_serve
-        assert balancer.servers["c1"].cold_since > 0
+        assert balancer.roster.servers["c1"].cold_since > 0
 
 
 async def test_an_upgrade_reads_what_was_said_and_both_processes_agree(tmp_path: Path) -> None:
@@ -124,7 +127,7 @@
         after.online("c1")
         before.look()
         assert not old.pools.pools["c1"].retired
-        cold = [one.driver.balancer.servers["c1"].cold_since for one in (old, new)]
+        cold = [one.driver.balancer.roster.servers["c1"].cold_since for one in (old, new)]
         assert abs(cold[0] - cold[1]) < SECOND and min(cold) > 0
         before.offline("c0")
         assert after.offline("c0") == "+OK" and new.pools.pools["c0"].retired
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -4,7 +4,9 @@
 from support import MILLI, SECOND, START, Router, fleet, settings
 
 from applehub import interface as api
-from applehub.logic import SAMPLES, Balancer, Monitor, Popularity
+from applehub.policy import Balancer
+from applehub.policy.keys import SAMPLES, Popularity
+from applehub.policy.throttle import Monitor
 
 
 def test_what_still_earns_something_late_is_waited_for() -> None:
@@ -53,7 +55,7 @@
     router = Router(members=fleet(4))
     keys = [f"k{n}" for n in range(400)]
     owned = [key for key in keys if router.candidates(key)[0].member.server == "c1"]
-    slow = router.balancer.servers["c1"]
+    slow = router.balancer.roster.servers["c1"]
     for n in range(2):
         slow.bear(router.now + n, 0, True)
         slow.bear(router.now + n, SECOND, True)  # sent before the cut: the same jam
@@ -95,7 +97,7 @@
     router = Router(members=[*fleet(7), api.Member("c7", since=START - SECOND)])
     router.wait(8 * SECOND)
     mine = [key for key in map(str, range(900)) if router.candidates(key)[0].member.server == "c7"]
-    mine = [key for key in mine if router.balancer.ranges.locate(key, router.now)[1] > START][:4]
+    mine = [key for key in mine if router.balancer.roster.ranges.locate(key, router.now)[1] > START][:4]
     sent = 0
     for n in range(400):
         _, (send,) = router.ask(mine[n % 4] if n % 2 else f"other{n}")
@@ -167,7 +169,7 @@
         dead = send.server in ("c3", "c7", "c11")
         for again in router.end(send, api.Status.CONNECT_FAILED if dead else api.Status.OK, 0, MILLI):
             router.end(again, api.Status.OK, 1)
-        assert router.balancer.crowded <= 1 / 2
+        assert router.balancer.roster.crowded <= 1 / 2
         router.wait(SECOND // 10)
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-LAYERS = ["applehub.interface", "applehub.logic", "applehub.settings", "applehub.node", "applehub.__main__"]
+LAYERS = ["applehub.interface", "applehub.policy", "applehub.settings", "applehub.node", "applehub.__main__"]
 
 
 def imports() -> dict[str, set[str]]:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -77,15 +77,15 @@
         name, _ = router.ask(f"other{n}")
         router.tell(api.Withdrawn(name))
         router.wait(SECOND // 10)
-    for server in router.balancer.servers.values():
+    for server in router.balancer.roster.servers.values():
         server.out = 0
     _, (send,) = router.ask("k")
     assert isinstance(send, api.Send)
-    server = router.balancer.servers[send.server]
-    asked = router.balancer.flow.per_second(router.now) * 40 / 4
+    server = router.balancer.roster.servers[send.server]
+    asked = router.balancer.roster.flow.per_second(router.now) * 40 / 4
     router.end(send, api.Status.MISS, load=api.Load(queue=0, eps=0.8 * asked))
     assert server.errors == pytest.approx(0.4, rel=0.1)
-    router.balancer._observe(
+    router.balancer.roster.observe(
         server, api.Outcome("", 0, send.server, api.Status.MISS, False, 0, load=api.Load(eps=0.0))
     )
     assert server.errors < 0.4
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -8,18 +8,10 @@
 from support import MILLI, ORIGIN_KIND, SECOND, START, Router, fleet, settings
 
 from applehub import interface as api
-from applehub.logic import (
-    DEALS_KEPT,
-    KEYS_KEPT,
-    WARMING_TOKENS,
-    KeyMemory,
-    KeyRanges,
-    Kind,
-    Monitor,
-    Popularity,
-    Server,
-    Throttle,
-)
+from applehub.policy.keys import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Popularity
+from applehub.policy.placement import WARMING_TOKENS
+from applehub.policy.servers import Kind, Server
+from applehub.policy.throttle import Monitor, Throttle
 
 S = api.Status
 
@@ -50,13 +42,13 @@
     members[1].state = api.State.DRAINING
     router = Router(members=members)
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c2", api.State.GONE)]))
-    assert router.balancer.ranges.deals[-1][1] == ["c0", "c3"]
+    assert router.balancer.roster.ranges.deals[-1][1] == ["c0", "c3"]
 
 
 def test_a_full_list_removes_whom_it_does_not_name() -> None:
     router = Router()
     router.tell(api.Members(api.ListKind.FULL, fleet(2)))
-    assert router.balancer.ranges.deals[-1][1] == ["c0", "c1"]
+    assert router.balancer.roster.ranges.deals[-1][1] == ["c0", "c1"]
 
 
 def test_keys_take_up_a_new_list_evenly_over_a_turn_and_all_routers_alike() -> None:
@@ -292,13 +284,13 @@
 def test_full_answers_make_a_server_swamped_not_quick() -> None:
     """Guards against a storm of full answers: work spills once, to a calm server, or is refused."""
     router = Router()
-    home = router.balancer.servers[router.serve("k")]
+    home = router.balancer.roster.servers[router.serve("k")]
     for _ in range(12):
-        home.learn(router.now, SECOND, int(router.balancer.shortest_aim), 1)
+        home.learn(router.now, SECOND, int(router.balancer.turn.shortest_aim), 1)
     home.out, home.sent_at = 1, router.now
     _, actions = router.ask("k")
     assert sends(actions) and sends(actions) != [home.member.server]
-    for one in router.balancer.servers.values():
+    for one in router.balancer.roster.servers.values():
         one.latency, one.out, one.sent_at = float(5 * SECOND), 1, router.now
     _, actions = router.ask("k")
     assert [type(action) for action in actions] == [api.Refuse]
@@ -326,7 +318,7 @@
     router = Router(settings(balancers=routers))
     name = router.serve("k")
     router.end(router.ask("k")[1][0], S.OK, elapsed=100 * MILLI)
-    server = router.balancer.servers[name]
+    server = router.balancer.roster.servers[name]
     server.latency, server.sent_at = float(SECOND), router.now
     trials = 0
     for _ in range(400):
@@ -362,24 +354,24 @@
     balancer = router.balancer
 
     def ending(server: str) -> tuple[api.Status, int]:
-        return (S.TIMEOUT, SECOND) if balancer.servers[server].member.kind else (S.OK, 10 * MILLI)
+        return (S.TIMEOUT, SECOND) if balancer.roster.servers[server].member.kind else (S.OK, 10 * MILLI)
 
     for n in range(40):
         first_send(router, f"k{n}", ending)
-    weak, strong = balancer.kinds[1], balancer.kinds[0]
+    weak, strong = balancer.roster.kinds[1], balancer.roster.kinds[0]
     assert (strong.share, weak.share < 0.5) == (1.0, True)
     fresh = Router(members=kinds_of(*[0, 1] * 10))
-    fresh.balancer.kinds[1] = weak
+    fresh.balancer.roster.kinds[1] = weak
     names = [first_send(fresh, f"key{n}", lambda _: (S.CANCELLED, 0)) for n in range(400)]
-    kinds = [fresh.balancer.servers[name].member.kind for name in names]
+    kinds = [fresh.balancer.roster.servers[name].member.kind for name in names]
     assert sum(kinds) < 150, "half of the keys lie in ranges of the weaker kind"
 
 
 def test_what_no_server_bears_goes_back_to_its_owner() -> None:
     """Guards small fleets: four servers at the least part each would refuse nine requests in ten."""
     router = Router()
-    for server in router.balancer.servers.values():
-        server.share = router.balancer._kind(server).share = 1 / 8
+    for server in router.balancer.roster.servers.values():
+        server.share = router.balancer.roster.kind(server).share = 1 / 8
     owned = [first_send(router, f"key{n}", lambda _: (S.CANCELLED, 0)) for n in range(40)]
     heads = [router.candidates(f"key{n}")[0].member.server for n in range(40)]
     assert sum(one == head for one, head in zip(owned, heads, strict=True)) > 30
@@ -390,7 +382,7 @@
     router.serve("k")
     _, (send,) = router.ask("k")
     router.end(send, S.OK, load=api.Load(inflight=40, latency_ms=100, qps=10))
-    one = router.balancer.servers[sends([send])[0]]
+    one = router.balancer.roster.servers[sends([send])[0]]
     assert one.reported(router.now) == pytest.approx(4.1e9)
     assert one.reported(router.now + 2 * SECOND) == 0
     assert sends(router.ask("k")[1]) != [one.member.server]
@@ -436,22 +428,22 @@
     first = 0
     for router in several:
         router.tell(fresh)
-        router.balancer.flow.add(router.now)
-        first += router.balancer.servers["c1"].budget.take(router.now, 0.25, WARMING_TOKENS)
+        router.balancer.roster.flow.add(router.now)
+        first += router.balancer.roster.servers["c1"].budget.take(router.now, 0.25, WARMING_TOKENS)
     assert first == 0
-    later = [router.balancer.servers["c1"].budget.take(START + SECOND, 0.25, 2) for router in several]
+    later = [router.balancer.roster.servers["c1"].budget.take(START + SECOND, 0.25, 2) for router in several]
     assert 4 <= sum(later) <= 16, "a quarter of a token each"
 
 
 def test_a_warming_server_gets_the_mean_flow_of_what_it_can_do() -> None:
     router = Router(settings(cold_from=0.2))  # warm after 10 s
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)]))
-    server = router.balancer.servers["c1"]
+    server = router.balancer.roster.servers["c1"]
     ages = [0, 5, 10, 20]
     parts = []
     for age in ages:
-        router.balancer.now = START + age * SECOND
-        parts.append(router.balancer._warmth(server))
+        router.balancer.turn.now = START + age * SECOND
+        parts.append(router.balancer.roster.warmth(server))
     assert parts == pytest.approx([0.2, 0.6, 1.0, 1.0])
 
 
@@ -459,7 +451,7 @@
     router = Router()
     for _ in range(2):
         router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=router.now - SECOND)]))
-        assert router.balancer.servers["c1"].cold_since == router.now - SECOND
+        assert router.balancer.roster.servers["c1"].cold_since == router.now - SECOND
     router.wait(20 * SECOND)
     owned = [key for key in map(str, range(40)) if router.candidates(key)[0].member.server == "c1"]
     assert owned
@@ -476,7 +468,7 @@
     _, actions = router.ask("k")
     assert sends(actions) == sends([first])
     router.end(actions[0], S.OK)
-    assert router.balancer.servers[sends([first])[0]].cold_since == router.now
+    assert router.balancer.roster.servers[sends([first])[0]].cold_since == router.now
     assert router.log[-1].endswith("answers again")
 
 
@@ -486,8 +478,8 @@
 ) -> None:
     """zone+vast: forty trials in 1.5 s pushed a server over that had just come back."""
     router = Router(settings(balancers=routers, cold_from=0.125))
-    server = router.balancer.servers[router.serve("k")]
-    router.balancer._kind(server).uncrowded = 50.0 * MILLI
+    server = router.balancer.roster.servers[router.serve("k")]
+    router.balancer.roster.kind(server).uncrowded = 50.0 * MILLI
     away = []
     for _ in range(6):
         router.wait(max(0, server.down_until - router.now))
@@ -508,7 +500,7 @@
     assert sends(router.ask("k")[1]) == sends([first])
     router.wait(2 * SECOND)
     router.end(again, S.OK, 1)
-    server = router.balancer.servers[sends([first])[0]]
+    server = router.balancer.roster.servers[sends([first])[0]]
     assert (server.cold_since, server.fails, server.breaks) == (0, 0, 0)
     assert not any("unreachable" in line for line in router.log)
 
@@ -526,7 +518,7 @@
     _, (trial,) = router.ask("k")
     assert sends([trial]) == [name]
     router.end(trial, S.OK)
-    assert router.balancer.servers[name].cold_since == 0
+    assert router.balancer.roster.servers[name].cold_since == 0
     assert router.log[-1].endswith("answers again")
 
 
@@ -539,7 +531,7 @@
         _, (send,) = router.ask("k")
         (name,) = sends([send])
         router.end(send, S.ERROR)
-    assert router.balancer.servers[name].fails
+    assert router.balancer.roster.servers[name].fails
     assert sends(router.ask("k")[1]) != [name]
 
 
@@ -553,7 +545,7 @@
     assert sends(trials).count(name) == 1
     (trial,) = [one for one in trials if isinstance(one, api.Send) and one.server == name]
     router.end(trial, S.OK)
-    server = router.balancer.servers[name]
+    server = router.balancer.roster.servers[name]
     assert (server.cold_since, server.fails) == (0, 0)
     assert sends(router.ask("k")[1]) == [name]
 
@@ -571,8 +563,8 @@
 def test_what_joins_the_list_later_without_a_start_time_is_taken_as_cold() -> None:
     router = Router()
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c9")]))
-    assert router.balancer.servers["c9"].cold_since == router.now
-    assert router.balancer.servers["c0"].cold_since == 0
+    assert router.balancer.roster.servers["c9"].cold_since == router.now
+    assert router.balancer.roster.servers["c0"].cold_since == 0
 
 
 # Lifecycle
@@ -600,7 +592,7 @@
 def test_reads_do_not_keep_a_swamped_origin_swamped() -> None:
     """Guards against the second's excess that is out before the first slow read shows."""
     router = Router()
-    origin = router.balancer.origin
+    origin = router.balancer.roster.origin
     assert origin is not None
     origin.latency, origin.base, origin.sent_at = SECOND / 4, SECOND / 4, router.now
     reads: list[api.Action] = []
@@ -614,7 +606,7 @@
     """ticket6430: one write in eight was refused with no attempt, since reads had filled the origin."""
     router = Router()
     _, (first,) = router.ask("k")
-    origin = router.balancer.origin
+    origin = router.balancer.roster.origin
     assert origin is not None
     origin.latency, origin.sent_at = 0.9 * SECOND, router.now  # past 3/4 of both aims
     assert [type(action) for action in router.end(first, S.MISS)] == [api.Refuse]
@@ -624,7 +616,7 @@
 def test_writes_do_not_keep_a_swamped_origin_swamped() -> None:
     """Guards against writes that keep a jammed origin jammed; a trial still shows when it recovers."""
     router = Router()
-    origin = router.balancer.origin
+    origin = router.balancer.roster.origin
     assert origin is not None
     origin.latency, origin.sent_at = 3.0 * SECOND, router.now
     assert [type(action) for action in router.ask(cls=2, write=True)[1]] == [api.Refuse]
@@ -660,7 +652,7 @@
         _, (first,) = router.ask(f"k{n}", cls)
         for action in router.end(first, S.ERROR):
             if isinstance(action, api.Send):
-                one, two = (router.balancer.servers[name].member for name in sends([first, action]))
+                one, two = (router.balancer.roster.servers[name].member for name in sends([first, action]))
                 assert getattr(one, same) == getattr(two, same)
             else:
                 assert type(action) is api.Fail
@@ -886,7 +878,7 @@
     for cls, late, again in ((0, 2, True), (0, 8, False), (1, 8, True)):
         router = Router(settings(classes=classes))
         _, (first,) = router.ask("k", cls)
-        server = router.balancer.servers[sends([first])[0]]
+        server = router.balancer.roster.servers[sends([first])[0]]
         server.latency = server.base = 0.3 * SECOND  # calm: within 3/4 of the aim
         router.now += late * SECOND // 10
         assert bool(sends(router.end(first, S.RESET))) == again
@@ -897,8 +889,8 @@
     router = Router(settings(**changes))
     for n in range(20):
         router.serve(f"warm{n}")
-    for server in router.balancer.servers.values():
-        if server is not router.balancer.origin:
+    for server in router.balancer.roster.servers.values():
+        if server is not router.balancer.roster.origin:
             server.latency, server.base, server.out = 2.0 * SECOND, 10.0 * MILLI, 1
     return router
 
@@ -912,7 +904,7 @@
     seen = dict(router.balancer.memory.seen)
     router.end(send, api.Status.OK)
     assert router.balancer.memory.seen == seen
-    origin = router.balancer.origin
+    origin = router.balancer.roster.origin
     assert origin is not None
     origin.out = 9
     _, (refused,) = router.ask("warm2")
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -164,10 +164,10 @@
     for n in range(50):
         router.ask(f"k{n}")
         router.wait(SECOND // 50)
-    before = router.balancer.flow.per_second(router.now)
+    before = router.balancer.roster.flow.per_second(router.now)
     router.tell(retuned(api.RequestClass(SECOND // 4, SECOND), tenants=[api.Tenant(9.0)]))
-    assert abs(router.balancer.flow.per_second(router.now) - before) < 1e-6 * before
-    assert len(router.balancer.shares) == len(router.balancer.banks) == 1
+    assert abs(router.balancer.roster.flow.per_second(router.now) - before) < 1e-6 * before
+    assert len(router.balancer.tenants.shares) == len(router.balancer.tenants.banks) == 1
     assert router.balancer.monitor.period == SECOND // 8
     router.ask("again")
 
@@ -190,7 +190,7 @@
     running = wired(tmp_path / "config.json")
     alone = (running.pools.most, running.driver.room.most)
     running._budget(2)
-    assert running.pools.most * 2 == alone[0] and running.driver.balancer.copies == 2
+    assert running.pools.most * 2 == alone[0] and running.driver.balancer.roster.copies == 2
     # Both programs' own memory goes off before the rest is shared.
     assert running.driver.room.most * 2 < alone[1]
     running._budget(1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from support import settings as router_settings
 
 from applehub import interface as api
-from applehub.logic import Balancer
+from applehub.policy import Balancer
 
 GRACE = SECOND // 4
 MICRO = 1000
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from applehub.interface import Request, RequestClass
-from applehub.logic import FEW_TOKENS, LEAST_TOTAL, Job, Throttle
+from applehub.policy.job import Job
+from applehub.policy.throttle import FEW_TOKENS, LEAST_TOTAL, Throttle
 
 SECOND = 1_000_000_000
 SPEC = RequestClass(aim=SECOND, deadline=2 * SECOND)
