Add what routers share: membership, records with an age, hearsay in the module, in the lab

Need: each router learns alone; the operators want limits, affinity and verdicts shared, with bounds on how old they may be. Nothing carried a word between two routers.

Change: applehub/peers/, pure: SWIM membership by numbers drawn at each start, a book of records whose merge is commutative, associative and idempotent (highest version, elder birth, k lowest writers), datagrams of 1,200 bytes with a checksum. policy/hearsay.py decides what counts: a server is left alone where a quorum says it fails, own answers override, no more than a quarter is out by hearsay; a kind's share draws near the fleet's. Events Fleet and Tell; off unless settings.peers, which nothing of the platform's sets. In the lab: [peers], and `lab peers` for the speakers alone.

--- a/applehub/events.py
+++ b/applehub/events.py
@@ -24,7 +24,7 @@
     SAMPLE = "sample"  # cpu_s, memory_mb, descriptors: of a process, since its start
     FAULT = "fault"  # fault: its number; kind, processes, edges: what it strikes
     HEALED = "healed"  # fault
-    UNDONE = "undone"  # fault, why: it could not be carried out
+    UNDONE = "undone"  # fault, why: it could not be carried out; of: the process that did not come up
     ASKED = "asked"  # request, router, cls, key, wait_ms: written whole to a router
     ANSWERED = "answered"  # request, router, how: served, refused or failed; ms
     CLOSED = "closed"  # request, router: the connection ended with no whole answer
--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -87,6 +87,7 @@
     ramp_time: int = 0
     tip_multiple: float = 1.0
     fall_time: int = 1_000_000_000
+    peers: bool = False  # it hears other routers, and they hear it
 
 
 @dataclass(slots=True)
@@ -213,6 +214,16 @@
     data: str
 
 
+@dataclass(slots=True)
+class Fleet:
+    """What other routers tell, none of it too old. accused: by server, how many routers it fails now, and how
+    many speak of it."""
+
+    routers: int  # processes that are there, this one too
+    shares: dict[int, float] = field(default_factory=dict)  # by kind: the part of a range that one bears
+    accused: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+
 Event = (
     Members
     | ByHand
@@ -225,6 +236,7 @@
     | Alarm
     | Probed
     | PeerMessage
+    | Fleet
 )
 
 
@@ -272,4 +284,15 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Wake | Watch | Log
+@dataclass(slots=True)
+class Tell:
+    """What the other routers may know: r and what is spent of it (tokens a second; r 0: no limit), the part
+    of its range that a server of each kind bears, and who fails this router, with the attempts in a row."""
+
+    rate: float
+    spent: float
+    shares: dict[int, float]
+    failing: dict[str, int]
+
+
+Action = Send | Refuse | Fail | Wake | Watch | Log | Tell
--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -20,6 +20,7 @@
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
 from applehub.lab.demand import demand_of
 from applehub.lab.fleet.commands import each_fault, fleet, judge_again, list_scale
+from applehub.lab.gossip_command import peers
 from applehub.lab.live.commands import demo, load
 from applehub.lab.play import stage
 from applehub.lab.policies import BLIND
@@ -344,6 +345,7 @@
 main.add_command(judge_again)
 main.add_command(each_fault)
 main.add_command(list_scale)
+main.add_command(peers)
 
 if __name__ == "__main__":
     main()
--- a/applehub/lab/fleet/checks.py
+++ b/applehub/lab/fleet/checks.py
@@ -246,7 +246,15 @@
 
 
 def standing(history: History, plan: Plan) -> Iterator[Broken]:
-    """No process ends but by a plan, and no cold server is pushed over."""
+    """No process ends but by a plan, no cold server is pushed over, and each fault is carried out: a router
+    that never came up is excused by what struck it since its start."""
+    for one in history.of(Event.UNDONE):
+        of = one.more.get("of", "")
+        begin = max((life.begin for life in history.lives.get(of, []) if life.begin < one.mono), default=0)
+        struck = history.struck(begin, one.mono, of)
+        if not any(span.begin > begin or span.kind in ("stop", "slow") for span in struck):
+            what = f"fault {one.more['fault']} could not be carried out: {one.more['why']}"
+            yield Broken("standing", what, [one])
     for one in history.of(Event.EXITED, Event.FELL):
         if one.event is Event.FELL:
             yield Broken("standing", f"{one.more['server']} was cold and fell over", [one])
--- a/applehub/lab/fleet/faults.py
+++ b/applehub/lab/fleet/faults.py
@@ -124,7 +124,7 @@
             self.ground.told(process), self.ground.shim(), self.ground.listeners[process.name].fileno()
         )
         if not await process.ready(READY_WITHIN):
-            self.ground.events.say(Event.UNDONE, fault=self.number, why=f"{process.name} was never ready")
+            self.ground.undone(self.number, process)
         with suppress(ProcessLookupError):
             old.send_signal(signal.SIGTERM)
         with suppress(TimeoutError):
--- a/applehub/lab/fleet/ground.py
+++ b/applehub/lab/fleet/ground.py
@@ -281,7 +281,12 @@
             self.addresses[router.name] = router.listen
             await self.up(router)
         if not await router.ready():
-            self.events.say(Event.UNDONE, fault=-1, why=f"{router.name} was never ready")
+            self.undone(-1, router)
+
+    def undone(self, fault: int, router: Process) -> None:
+        """A router that a fault (-1: the play's begin, or a new start) calls for does not come up."""
+        why = f"{router.name} was never ready"
+        self.events.say(Event.UNDONE, fault=fault, of=router.name, why=why)
 
     def told(self, router: RouterProcess) -> Json:
         """The configuration of a router."""
--- /dev/null
+++ b/applehub/lab/gossip.py
@@ -0,0 +1,225 @@
+"""Speakers alone on a simulated network: how fast what routers share gets round, and what it costs."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from applehub.lab.clock import MILLI, SECOND, Clock
+from applehub.lab.streams import Draws, generator
+from applehub.peers.codec import Peer, Standing
+from applehub.peers.records import BOUNDS, Limit, Shares, Told, Verdict, digest
+from applehub.peers.speaker import Out, Speaker
+from applehub.settings import Json
+
+FLEET = "lab"
+SEEDS = 5  # routers that all are configured with
+SETTLE = 120 * SECOND  # the longest that is waited for the fleet to agree
+
+
+@dataclass(frozen=True, slots=True)
+class Gossip:
+    """What is played. Times in seconds, loss as a part."""
+
+    routers: int
+    period_ms: float = 50.0
+    loss: float = 0.0
+    near_ms: float = 0.3
+    far_ms: float = 8.0
+    seconds: float = 10.0  # of steady telling
+    cut_s: float = 0.0  # how long the fleet is cut in two; 0: never
+    kill: float = 0.0  # part of the routers that ends at once
+
+
+@dataclass(slots=True)
+class Measured:
+    """What was seen: seconds, and figures a router a second of steady telling."""
+
+    known_s: float = -1.0
+    verdict_ms: list[float] = field(default_factory=list)  # from a change until each other has it
+    ages_ms: dict[str, list[float]] = field(default_factory=dict)  # true ages of what counts
+    bytes_out: float = 0.0
+    datagrams: float = 0.0
+    cpu_ms: float = 0.0
+    healed_s: float = -1.0
+    buried_s: float = -1.0  # until the living hold all that ended for gone, and nobody else
+    missing: int = 0  # changes of a verdict that a router never had
+    records: int = 0  # most that a book held
+
+
+class Talk:
+    """Speakers, a clock and a network."""
+
+    def __init__(self, plan: Gossip, seed: int) -> None:
+        self.plan, self.clock, self.draws = plan, Clock(), Draws(seed, "gossip")
+        self.period = int(plan.period_ms * MILLI)
+        names = [f"n{number}" for number in range(plan.routers)]
+        lives = generator(seed, "lives").integers(1, 1 << 63, plan.routers).tolist()
+        self.speakers = [
+            Speaker(
+                Peer(life, 0, Standing.ALIVE, number.to_bytes(4), 1, name),
+                FLEET,
+                [one for one in names[:SEEDS] if one != name],
+                int(life),
+                self.period,
+            )
+            for number, (name, life) in enumerate(zip(names, lives, strict=True))
+        ]
+        self.at = {name: number for number, name in enumerate(names)}
+        self.alive = [True] * plan.routers
+        self.cut = False
+        self.cpu, self.until = 0.0, 0
+        self.births: dict[tuple[int, str, int], int] = {}  # by writer, type and version: when
+        self.accused: dict[tuple[int, int], int] = {}  # verdicts, by subject and writer: since when
+        self.lacking: list[set[tuple[int, int]]] = [set() for _ in names]  # those that each has not heard
+        self.measured = Measured()
+
+    def _zone(self, number: int) -> int:
+        return number * 2 // self.plan.routers
+
+    def _start(self, number: int) -> None:
+        self.clock.at(int(self.draws.uniform() * self.period), self._tick, number)
+
+    def _tick(self, number: int) -> None:
+        if self.alive[number]:
+            begin = time.perf_counter()
+            out = self.speakers[number].tick(self.clock.now)
+            self.cpu += time.perf_counter() - begin
+            self._send(number, out)
+            self.clock.after(self.period, self._tick, number)
+
+    def _send(self, number: int, out: list[Out]) -> None:
+        plan = self.plan
+        for to, data in out:
+            other = self.at[to.name if isinstance(to, Peer) else to]
+            apart = self._zone(number) != self._zone(other)
+            if (self.cut and apart) or (plan.loss and self.draws.uniform() < plan.loss):
+                continue
+            way = (plan.far_ms if apart else plan.near_ms) * (0.8 + 0.4 * self.draws.uniform())
+            self.clock.after(int(way * MILLI), self._arrive, (other, data))
+
+    def _arrive(self, what: tuple[int, bytes]) -> None:
+        number, data = what
+        if not self.alive[number]:
+            return
+        begin = time.perf_counter()
+        speaker = self.speakers[number]
+        out = speaker.heard(self.clock.now, data)
+        self.cpu += time.perf_counter() - begin
+        found = [key for key in self.lacking[number] if (Verdict, *key) in speaker.book.told]
+        for key in found:
+            self.lacking[number].discard(key)
+            self.measured.verdict_ms.append((self.clock.now - self.accused[key]) / MILLI)
+        self._send(number, out)
+
+    def _agreed(self) -> bool:
+        living = sum(self.alive)
+        return all(
+            one.membership.alive == living
+            for one, up in zip(self.speakers, self.alive, strict=True) if up
+        )  # fmt: skip
+
+    def _until_agreed(self) -> float:
+        """Seconds until each living router holds just the living for there; -1: not in time."""
+        begin = self.clock.now
+        while not self._agreed():
+            if self.clock.now - begin > SETTLE:
+                return -1.0
+            self.clock.run(self.clock.now + self.period // 2)
+        return (self.clock.now - begin) / SECOND
+
+    def _told(self, number: int) -> Iterator[Told]:
+        """What a router has of the others."""
+        speaker = self.speakers[number]
+        return (one for key, one in speaker.book.told.items() if key[2] != speaker.life)
+
+    def _tell(self, number: int) -> None:
+        """What a router has to tell, each quarter of a second."""
+        speaker, now = self.speakers[number], self.clock.now
+        for kind, subject in speaker.own:
+            if kind is Verdict:
+                speaker.tell(now, Verdict(True, 3), subject)
+        if speaker.tells_limits:
+            speaker.tell(now, Limit(10.0, 5.0))
+            speaker.tell(now, Shares(((1, 0.5), (2, 1.0))))
+            for kind in (Limit, Shares):
+                own = speaker.own[kind, 0]
+                self.births[speaker.life, kind.__name__, own.version] = own.at
+        self.clock.after(SECOND // 4, self._tell, number)
+
+    def _accuse(self, count: int) -> None:
+        """A router finds that a server fails it."""
+        number = self.draws.below(len(self.speakers))
+        speaker, subject = self.speakers[number], digest(f"server {count}")
+        speaker.tell(self.clock.now, Verdict(True, 3), subject)
+        key = subject, speaker.life
+        self.accused[key] = self.clock.now
+        for one, lacking in enumerate(self.lacking):
+            if one != number:
+                lacking.add(key)
+        self.clock.after(3 * SECOND, lambda _: speaker.forget(Verdict, subject))
+        if self.clock.now < self.until:
+            self.clock.after(SECOND // 5, self._accuse, count + 1)
+
+    def _look(self, _: None) -> None:
+        """The true ages of what counts, at one router."""
+        number, now = self.draws.below(len(self.speakers)), self.clock.now
+        book = self.speakers[number].book
+        self.measured.records = max(self.measured.records, len(book.told))
+        for one in self._told(number):
+            kind = type(one.body)
+            born = self.births.get((one.writer, kind.__name__, one.version))
+            if born is not None and now - one.born <= BOUNDS[kind].age:
+                self.measured.ages_ms.setdefault(kind.__name__, []).append((now - born) / MILLI)
+        if now < self.until:
+            self.clock.after(SECOND // 20, self._look, None)
+
+    def play(self) -> Measured:
+        """Starts all at once, lets them tell, then strikes."""
+        plan, measured = self.plan, self.measured
+        for number in range(plan.routers):
+            self._start(number)
+        measured.known_s = self._until_agreed()
+        for number in range(plan.routers):
+            self.clock.after(int(self.draws.uniform() * SECOND / 4), self._tell, number)
+        self.clock.run(self.clock.now + 2 * SECOND)
+        self.until = self.clock.now + int(plan.seconds * SECOND)
+        self.clock.after(0, self._look, None)
+        self.clock.after(0, self._accuse, 0)
+        self.cpu, sent = 0.0, [(one.bytes, one.sent) for one in self.speakers]
+        self.clock.run(self.clock.now + int(plan.seconds * SECOND))
+        each = plan.routers * plan.seconds
+        measured.cpu_ms = self.cpu * 1000 / each
+        pairs = list(zip(self.speakers, sent, strict=True))
+        measured.bytes_out = sum(one.bytes - before[0] for one, before in pairs) / each
+        measured.datagrams = sum(one.sent - before[1] for one, before in pairs) / each
+        settled = self.clock.now - BOUNDS[Verdict].age
+        measured.missing = sum(self.accused[key] < settled for lacking in self.lacking for key in lacking)
+        if plan.cut_s:
+            self.cut = True
+            self.clock.run(self.clock.now + int(plan.cut_s * SECOND))
+            self.cut = False
+            measured.healed_s = self._until_agreed()
+        if plan.kill:
+            for number in range(int(plan.routers * plan.kill)):
+                self.alive[(number * 7 + 3) % plan.routers] = False
+            measured.buried_s = self._until_agreed()
+        return measured
+
+
+def _at(values: list[float], part: float) -> float | None:
+    values = sorted(values)
+    return round(values[min(len(values) - 1, int(len(values) * part))], 1) if values else None
+
+
+def figures(plan: Gossip, measured: Measured) -> Json:
+    """For a table or a file."""
+    told = sorted(measured.ages_ms.items())
+    ages = {name.lower(): (_at(values, 0.5), _at(values, 0.99)) for name, values in told}
+    return {
+        "routers": plan.routers, "loss": plan.loss, "known_s": round(measured.known_s, 2),
+        "verdict_ms": (_at(measured.verdict_ms, 0.5), _at(measured.verdict_ms, 0.99)),
+        "verdicts_missing": measured.missing, "ages_ms": ages, "bytes_s": round(measured.bytes_out),
+        "datagrams_s": round(measured.datagrams, 1), "cpu_ms_s": round(measured.cpu_ms, 2),
+        "records": measured.records, "healed_s": round(measured.healed_s, 2),
+        "buried_s": round(measured.buried_s, 2),
+    }  # fmt: skip
--- /dev/null
+++ b/applehub/lab/peering.py
@@ -0,0 +1,105 @@
+"""The routers' datagrams in the lab: each router's speaker, on the network of the day."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from applehub import interface as api
+from applehub.lab import spec
+from applehub.lab.clock import MILLI, Clock
+from applehub.lab.network import Net
+from applehub.lab.streams import Draws
+from applehub.peers.codec import Peer, Standing
+from applehub.peers.speaker import Out, Speaker
+from applehub.peers.voice import Voice
+
+FLEET = "lab"
+HEARD_EACH = 5  # periods between two tellings of the module
+LEAST_SHARE = 1 / 8
+
+
+class Talker(Protocol):
+    """A router, as those who carry its datagrams know it."""
+
+    index: int
+    zone: int
+    life: int
+    up: bool
+    known: dict[str, api.Member]
+
+    def deliver(self, event: api.Event, cost: int) -> None:
+        """An event reaches the process."""
+
+    def work(self, cost: int) -> None:
+        """Its processor has that much to do."""
+
+
+class Peering:
+    """All speakers of a play."""
+
+    def __init__(self, clock: Clock, told: spec.Peers, kinds: list[str], net: Net, draws: Draws) -> None:
+        """kinds: the names of all kinds of servers, in the order of their indexes."""
+        self.clock, self.told, self.net, self.draws = clock, told, net, draws
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.period = int(told.period_ms * MILLI)
+        self.cost = int(told.datagram_us * 1000)
+        self.talkers: dict[str, Talker] = {}
+        self.voices: dict[int, Voice] = {}
+        self.liars: set[int] = set()
+        self.datagrams = self.bytes = 0
+
+    def know(self, talkers: Iterable[Talker]) -> None:
+        """All routers, before any starts; draws who lies."""
+        self.talkers = {f"n{one.index}": one for one in talkers}
+        if self.told.liars:
+            self.liars = {
+                one.index for one in self.talkers.values() if self.draws.uniform() < self.told.liars
+            }
+
+    def start(self, talker: Talker) -> None:
+        """A process begins to speak, under a number of its own."""
+        name, life = f"n{talker.index}", int(self.draws.uniform() * (1 << 53)) + 1
+        me = Peer(life, 0, Standing.ALIVE, talker.index.to_bytes(4), 1, name)
+        names = [one for one in self.talkers if one != name]
+        self.voices[talker.index] = Voice(Speaker(me, FLEET, names, life, self.period))
+        self.clock.after(int(self.draws.uniform() * self.period), self._tick, (talker, talker.life, 0))
+
+    def _tick(self, what: tuple[Talker, int, int]) -> None:
+        talker, life, count = what
+        if talker.life != life or not talker.up:
+            return
+        voice, now = self.voices[talker.index], self.clock.now
+        self._send(talker, voice.speaker.tick(now))
+        if count % HEARD_EACH == 0:
+            fleet = voice.hear(now, talker.known, self.kinds)
+            if not self.told.shares:
+                fleet.shares.clear()
+            if not self.told.verdicts:
+                fleet.accused.clear()
+            talker.deliver(fleet, self.cost)
+        self.clock.after(self.period, self._tick, (talker, life, count + 1))
+
+    def say(self, talker: Talker, tell: api.Tell) -> None:
+        """What a router's module tells."""
+        if talker.index in self.liars:
+            tell = api.Tell(
+                1e6, 1e6, dict.fromkeys(tell.shares, LEAST_SHARE), dict.fromkeys(list(talker.known)[:100], 9)
+            )
+        self.voices[talker.index].say(self.clock.now, tell, self.kinds)
+
+    def _send(self, talker: Talker, out: list[Out]) -> None:
+        for to, data in out:
+            other = self.talkers[to.name if isinstance(to, Peer) else to]
+            self.datagrams += 1
+            self.bytes += len(data)
+            talker.work(self.cost)
+            lost = self.told.loss > 0 and self.draws.uniform() < self.told.loss
+            if lost or self.net.apart(talker.zone, other.zone):
+                continue
+            way = self.net.delay(talker.zone, other.zone)
+            self.clock.after(way, self._arrive, (other, data))
+
+    def _arrive(self, what: tuple[Talker, bytes]) -> None:
+        talker, data = what
+        if talker.up:
+            talker.work(self.cost)
+            self._send(talker, self.voices[talker.index].speaker.heard(self.clock.now, data))
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -11,6 +11,7 @@
 from applehub.lab.discovery import Registry
 from applehub.lab.network import Net
 from applehub.lab.origin import OriginServer
+from applehub.lab.peering import Peering
 from applehub.lab.rules import Rules
 from applehub.lab.servers import CacheServer
 from applehub.lab.tries import Asked, Attempt, Place
@@ -36,6 +37,7 @@
     answered: Callable[[Asked, str, int, int], None]  # the try, how, when to come back, the way to the client
     log: Callable[["RouterHost", str], None]
     tipped: Callable[[CacheServer], None]
+    peering: Peering | None  # none: routers hear nothing of each other
 
 
 class RouterHost:
@@ -72,6 +74,8 @@
         self.max_attempts = self.around.spec.max_attempts
         self.decider = make(self.life)
         self._members(api.Members(api.ListKind.CACHED, list(self.known.values())), self.version)
+        if self.around.peering is not None:
+            self.around.peering.start(self)
 
     def stop(self) -> None:
         """The process ends at once: clients see their connections break."""
@@ -120,6 +124,11 @@
         else:
             self.clock.at(begin, self._play, (self.life, event))
 
+    def work(self, cost: int) -> None:
+        """The processor has that much more to do."""
+        self.busy = max(self.clock.now, self.busy) + cost
+        self.cpu += cost
+
     def _play(self, what: tuple[int, api.Event]) -> None:
         life, event = what
         if life != self.life or not self.up:
@@ -140,6 +149,9 @@
                     self._subscribe()
                 case api.Log():
                     self.around.log(self, action.text)
+                case api.Tell():
+                    assert self.around.peering is not None  # none tells that was not told that it may
+                    self.around.peering.say(self, action)
 
     def _alarm(self, what: tuple[int, str]) -> None:
         if what[0] == self.life:
--- a/applehub/lab/runner.py
+++ b/applehub/lab/runner.py
@@ -66,6 +66,7 @@
     """Of the sources that decide a play's figures: records of two programs are not mixed."""
     root = Path(applehub.__file__).parent
     files = sorted((root / "lab").glob("*.py")) + sorted((root / "policy").glob("*.py"))
+    files += sorted((root / "peers").glob("*.py"))
     files += [root / name for name in DECIDING]
     whole = hashlib.sha256()
     for file in files:
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -172,6 +172,18 @@
     retry_after_ms: NotNegative = 0  # 0: clients are told nothing
 
 
+class Peers(Part):
+    """What routers tell one another, over the network of the day."""
+
+    on: bool = False
+    period_ms: Positive = 100  # between two probes of a router
+    loss: Share = 0  # of datagrams
+    datagram_us: NotNegative = 100  # of processor time, for one sent or taken
+    shares: bool = True  # which of what is heard the module is told
+    verdicts: bool = True
+    liars: Share = 0  # routers that say that every server fails them and bears nothing
+
+
 class Rules(Part):
     """The rules' figures; told to the routers."""
 
@@ -378,6 +390,7 @@
     workload: Workload = Workload()
     clients: Clients = Clients()
     routers: Routers = Routers()
+    peers: Peers = Peers()
     rules: Rules = Rules()
     goal: Goal = Goal()
     faults: list[Fault] = []
--- a/applehub/lab/world.py
+++ b/applehub/lab/world.py
@@ -10,6 +10,7 @@
 from applehub.lab.discovery import Registry
 from applehub.lab.network import Net
 from applehub.lab.origin import OriginServer
+from applehub.lab.peering import Peering
 from applehub.lab.policies import maker
 from applehub.lab.routers import RouterHost, Surroundings
 from applehub.lab.rules import Rules
@@ -48,13 +49,16 @@
         self.account = Account(day, [one.aim for one in classes], self.clock)
         self.rules = Rules(day.rules, classes, self.clock, self.places, self.registry)
         self.make = maker(policy, self)
+        self.peering = self._make_peering()
         around = Surroundings(
             self.clock, day.routers, self.net, self.registry, self.places, self.servers, self.rules,
-            self.account, self.longest_deadline, self._answered, self.log, self.tipped,
+            self.account, self.longest_deadline, self._answered, self.log, self.tipped, self.peering,
         )  # fmt: skip
         self.routers = [
             RouterHost(around, n, n % len(day.topology.zones)) for n in range(day.topology.routers)
         ]
+        if self.peering is not None:
+            self.peering.know(self.routers)
         self.routers_in: list[list[RouterHost]] = [[] for _ in day.topology.zones]
         for router in self.routers:
             self.routers_in[router.zone].append(router)
@@ -69,6 +73,14 @@
     def draws(self, part: str) -> Draws:
         return Draws(self.seed, part)
 
+    def _make_peering(self) -> Peering | None:
+        """What carries the routers' datagrams, where the day has any."""
+        if not self.day.peers.on or self.policy != "router":
+            return None
+        self.settings.peers = True
+        kinds = [one.name for one in self.day.topology.kinds]
+        return Peering(self.clock, self.day.peers, kinds, self.net, self.draws("peers"))
+
     # The fleet
 
     def _make_origin(self) -> OriginServer:
@@ -229,4 +241,8 @@
         calls = self.clock.run(end)
         cpu = sorted(router.cpu for router in self.routers)
         result = self.account.result(cpu, self.origin, self.registry, self.all_servers)
+        if self.peering is not None:
+            seconds = self.day.seconds * len(self.routers)
+            datagrams, carried = self.peering.datagrams / seconds, self.peering.bytes / seconds
+            result["peers"] = {"datagrams_s": round(datagrams, 1), "bytes_s": round(carried)}
         return {**result, "rules": self.rules.report(), "events": calls}
--- /dev/null
+++ b/applehub/peers/voice.py
@@ -0,0 +1,48 @@
+"""Between the module and the speaker: names for indexes, digests for names."""
+
+from collections.abc import Iterable
+
+from applehub import interface as api
+from applehub.peers.records import SECOND, Limit, Shares, Verdict, digest
+from applehub.peers.speaker import Speaker
+
+LOOK = SECOND // 4  # between two looks at whether this process is one of those whose limits are told
+
+
+class Voice:
+    """Tells what the module tells, and hears for it."""
+
+    def __init__(self, speaker: Speaker) -> None:
+        self.speaker = speaker
+        self.accusing: set[str] = set()
+        self.looked = -LOOK
+
+    def say(self, now: int, tell: api.Tell, kinds: dict[str, int]) -> None:
+        """Takes up what the module tells. kinds: index of each kind by its name."""
+        speaker = self.speaker
+        for name, attempts in tell.failing.items():
+            speaker.tell(now, Verdict(True, attempts), digest(name))
+        for name in self.accusing - tell.failing.keys():
+            speaker.tell(now, Verdict(False, 0), digest(name))
+            speaker.forget(Verdict, digest(name))
+        self.accusing = set(tell.failing)
+        if now - self.looked >= LOOK and speaker.tells_limits:
+            self.looked = now
+            speaker.tell(now, Limit(tell.rate, tell.spent))
+            shares = [(digest(name), tell.shares[at]) for name, at in kinds.items() if at in tell.shares]
+            speaker.tell(now, Shares(tuple(shares)))
+
+    def hear(self, now: int, servers: Iterable[str], kinds: dict[str, int]) -> api.Fleet:
+        """What the module is told: of servers that it lists, and of nothing else."""
+        view = self.speaker.view(now)
+        fleet = api.Fleet(view.routers)
+        for name, at in kinds.items():
+            share = view.shares.get(digest(name))
+            if share is not None:
+                fleet.shares[at] = share
+        if view.accused:
+            for name in servers:
+                accused = view.accused.get(digest(name))
+                if accused is not None:
+                    fleet.accused[name] = (accused.failing, accused.of)
+        return fleet
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from applehub import interface as api
+from applehub.policy.hearsay import Hearsay
 from applehub.policy.job import Job
 from applehub.policy.keys import KeyMemory, Popularity
 from applehub.policy.placement import Placement
@@ -29,6 +30,7 @@
         self.jobs: dict[str, Job] = {}
         self.memory, self.popularity = KeyMemory(), Popularity()
         self.monitor = Monitor(turn.shortest_aim // 2)
+        self.hearsay = Hearsay(turn, self.roster, self.monitor)
         self.reads: dict[tuple[str, int], tuple[int, int]] = {}  # likely misses out: sent, slow from
         self.fetches: dict[str, list[Job]] = {}  # keys being read from the origin, and who waits for them
         self.release_at = 0
@@ -41,6 +43,7 @@
             api.Retuned: self._on_retuned,
             api.Copies: self.roster.on_copies,
             api.Withdrawn: self._on_withdrawn,
+            api.Fleet: self.hearsay.on_fleet,
         }
 
     @property
@@ -100,6 +103,8 @@
         if before is not None and self.monitor.throttle is None:
             for job in list(before.queue.values()):
                 self._proceed(job)
+        if self.turn.settings.peers:
+            self.turn.actions.append(self.hearsay.tell())
         self.turn.later(self.monitor.period, self._step)
 
     def _on_request(self, event: api.Request) -> None:
--- /dev/null
+++ b/applehub/policy/hearsay.py
@@ -0,0 +1,48 @@
+"""What other routers tell, and what they are told. What a router sees itself overrides all of it."""
+
+from applehub import interface as api
+from applehub.policy.rates import SECOND
+from applehub.policy.roster import Roster
+from applehub.policy.servers import Kind
+from applehub.policy.throttle import Monitor
+from applehub.policy.turn import Turn
+
+PULL = 1 / 4  # part of the way to the fleet's share that a kind's takes each time it is heard
+QUORUM = 3  # routers that a server must fail, and half of those who speak of it: one may be sick itself
+SILENCES = 2  # time-outs in a row from which on a server fails this router
+OWN = 2 * SECOND  # how long an answer that this router had itself counts for more than what it hears
+MOST_OUT = 1 / 4  # part of the listed servers that may be out by hearsay
+
+
+class Hearsay:
+    """Takes up what is heard, and says what there is to tell."""
+
+    def __init__(self, turn: Turn, roster: Roster, monitor: Monitor) -> None:
+        self.turn, self.roster, self.monitor = turn, roster, monitor
+        self.heard = False  # whether anything was, since the start
+
+    def on_fleet(self, event: api.Fleet) -> None:
+        """Guards against routers that disagree on who bears a key's range: their shares draw together. One
+        that starts takes over the fleet's."""
+        for number, share in event.shares.items():
+            kind = self.roster.kinds.setdefault(number, Kind())
+            kind.share += (share - kind.share) * (PULL if self.heard else 1)
+        self.heard = self.heard or bool(event.shares)
+        self.roster.routers = event.routers
+        out = sum(server.hearsay and server.fails > 0 for server in self.roster.servers.values())
+        for name, (failing, of) in event.accused.items():
+            room = out + 1 <= MOST_OUT * len(self.roster.servers)
+            if room and failing >= max(QUORUM, of / 2):
+                out += self.roster.put_out(name, OWN)
+
+    def tell(self) -> api.Tell:
+        """Only what this router saw itself: hearsay passed on would keep itself alive."""
+        throttle, servers = self.monitor.throttle, self.roster.servers
+        failing = {
+            name: server.fails or server.silences
+            for name, server in servers.items()
+            if not server.hearsay and (server.fails or server.silences >= SILENCES)
+        }
+        shares = {number: kind.share for number, kind in self.roster.kinds.items()}
+        rate = throttle.rate if throttle is not None else 0.0
+        return api.Tell(rate, self.monitor.recent(self.turn.now), shares, failing)
--- a/applehub/policy/roster.py
+++ b/applehub/policy/roster.py
@@ -23,6 +23,7 @@
         self.by_hand: set[str] = set()  # left out, whatever the list says
         self.put_back: dict[str, int] = {}  # and when those that were are cold since
         self.copies = 1  # processes that serve as this router now
+        self.routers = 0  # processes of all routers that were heard to be there
         self.origin: Server | None = None
         self.ranges = KeyRanges(turn.settings.ramp_time)
         self.kinds: dict[int, Kind] = {}
@@ -134,7 +135,8 @@
 
     def pace(self, server: Server) -> float:
         """How seldom each router may try a swamped server, so that all together send what one core serves."""
-        return self.turn.settings.balancers * self.copies * self.kind(server).uncrowded
+        routers = max(self.turn.settings.balancers * self.copies, self.routers)
+        return routers * self.kind(server).uncrowded
 
     def kind(self, server: Server) -> Kind:
         kind = self.kinds.get(server.member.kind)
@@ -166,6 +168,17 @@
             wait = max(wait, self.pace(server) / max(self.turn.settings.cold_from, SMOOTHING / 2))
         return wait
 
+    def put_out(self, name: str, own: int) -> bool:
+        """Leaves a server alone that fails others, as if it had failed here; whether it does. An answer that
+        came within own is better evidence. Each router tries it again at a moment of its own."""
+        server, now = self.servers.get(name), self.turn.now
+        if server is None or server is self.origin or server.fails or now - server.answered_at < own:
+            return False
+        server.hearsay, server.fails, server.down_since = True, 1, now
+        server.down_until = now + int(self._away(server, False) * self.turn.random.uniform(1, 4))
+        self.turn.log(f"server {name} fails other routers")
+        return True
+
     def observe(self, server: Server, event: api.Outcome) -> None:
         """Takes up how an attempt at a server ended."""
         turn, now, status, load = self.turn, self.turn.now, event.status, event.load
@@ -183,13 +196,14 @@
         if not server.linked and not server.fails and event.elapsed < turn.settings.connect_timeout:
             self.crowded += (refused - self.crowded) * SMOOTHING
         server.linked = not refused
+        server.silences = server.silences + 1 if status is api.Status.TIMEOUT else 0
         # Guards against a network that breaks connections: one that broke says nothing of the process. One
         # that died refuses the next connect.
         server.breaks = server.breaks + 1 if status is api.Status.RESET else server.breaks * (not answered)
         failed = refused or failing or (status is api.Status.RESET and server.breaks >= BREAKS)
         if failed:
-            if not server.fails:
-                server.down_since = now
+            if not server.fails or server.hearsay:
+                server.down_since, server.hearsay = now, False
                 state = "fails what it is sent" if failing else "unreachable"
                 turn.log(f"server {event.server} {state}")
             server.fails += 1
@@ -199,6 +213,7 @@
             turn.log(f"server {event.server} answers again")
             away = server.refusals > 1 and now - server.down_since > SECOND
             server.fails = server.refusals = 0
+            server.hearsay = False
             if away and self.crowded <= 1 / 2:
                 self._chill(server, now)  # a process that died comes back cold, before the list tells
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
--- a/applehub/policy/servers.py
+++ b/applehub/policy/servers.py
@@ -62,6 +62,8 @@
     trial: bool = False  # what is out was sent to see whether it has recovered
     load: api.Load | None = None
     load_at: int = 0
+    silences: int = 0  # time-outs in a row
+    hearsay: bool = False  # it fails others, and was left alone for that
     listed: api.State = api.State.READY
 
     def predict(self) -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -115,6 +115,19 @@
     assert found.text(ordered(records)).count("\n") == 4  # the fault's two events, then the request's
 
 
+@pytest.mark.parametrize(("since", "excused"), [(1.5, True), (0.5, False)])
+def test_a_router_that_never_came_up_breaks_the_play_unless_it_was_struck_again(
+    since: float, excused: bool
+) -> None:
+    struck = {"fault": 1, "kind": "kill", "processes": ["router-0"], "edges": [], "keep_disk": True}
+    records = [
+        event(1.0, Event.STARTED, of="router-0", number=1),
+        event(since, Event.FAULT, **struck),
+        event(2.0, Event.UNDONE, fault=0, of="router-0", why="router-0 was never ready"),
+    ]
+    assert [one.check for one in judge(ordered(records), Plan(name="p"))] == ([] if excused else ["standing"])
+
+
 @pytest.mark.parametrize(
     ("how", "breaks"), [("full", False), ("miss", False), ("failed", True), ("left", True)]
 )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -44,11 +44,18 @@
                 assert not [one for one in found[name] if one.startswith(above)], name
 
 
+def test_what_routers_share_knows_neither_the_module_nor_the_network() -> None:
+    for name, imported in imports().items():
+        if name.startswith("applehub.peers"):
+            assert all(one.startswith(("applehub.peers", "applehub.interface")) for one in imported), name
+
+
 def test_run_and_sim_load_no_program_beside_them_and_no_library_of_theirs() -> None:
     code = "import sys, applehub.__main__, applehub.wirehost; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     theirs = (
         "applehub.lab",
+        "applehub.peers",
         "applehub.registry",
         "applehub.events",
         "pydantic",
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,206 @@
+"""What routers share: its laws, what it takes from a bad network, and what the module makes of it."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support import MILLI, SECOND, Router
+from support import settings as router_settings
+
+from applehub import interface as api
+from applehub.lab.gossip import Gossip, Talk
+from applehub.peers.codec import MOST, DatagramError, Kind, Packer, Peer, Standing, decode, encode_told
+from applehub.peers.records import BOUNDS, Book, Limit, Shares, Told, Verdict, digest
+from applehub.peers.speaker import Speaker
+from applehub.peers.swim import Membership
+from applehub.peers.voice import Voice
+
+PERIOD = 50 * MILLI
+
+
+def speaker(number: int) -> Speaker:
+    me = Peer(number + 1, 0, Standing.ALIVE, number.to_bytes(4), 1, f"n{number}")
+    return Speaker(me, "fleet", [f"n{one}" for one in range(3) if one != number], number, PERIOD)
+
+
+def made(writer: int, subject: int, version: int) -> Told:
+    """One writer's record of one version is one record: only its reckoned birth may differ."""
+    kind = subject % 3
+    bodies = Limit(version, writer), Shares(((1, 0.5),)), Verdict(version % 2 == 0, version)
+    return Told(writer, subject if kind == 2 else 0, version, 0, bodies[kind])
+
+
+RECORDS = st.builds(
+    replace,
+    st.builds(made, st.integers(1, 50), st.integers(0, 6), st.integers(1, 4)),
+    born=st.integers(0, 5),
+)
+
+
+@given(st.lists(RECORDS, max_size=120), st.randoms(use_true_random=False))
+@settings(max_examples=200, deadline=None)
+def test_the_merge_does_not_care_for_order_or_repetition(records: list[Told], drawn: random.Random) -> None:
+    one, other = Book(), Book()
+    for record in records:
+        one.merge(record)
+    again = records + [drawn.choice(records) for _ in records]
+    drawn.shuffle(again)
+    half = Book()  # what is merged by way of another book
+    for record in again[: len(again) // 2]:
+        half.merge(record)
+    for record in [*again[len(again) // 2 :], *half.told.values()]:
+        other.merge(record)
+    assert one.told == other.told
+    assert all(len(writers) <= BOUNDS[kind].writers for (kind, _), writers in one.writers.items())
+
+
+def test_what_has_passed_its_bound_counts_no_more_and_is_dropped() -> None:
+    heard, other = speaker(0), speaker(1)
+    other.tell(0, Verdict(True, 5), 7)
+    introduce(0, heard, other)
+    assert heard.view(SECOND).accused[7].failing == 1
+    assert not heard.view(3 * SECOND).accused
+    heard.tick(3 * SECOND)
+    assert not heard.book.told
+
+
+def introduce(now: int, one: Speaker, other: Speaker) -> None:
+    """Lets two hear of each other, with all that the other has to tell."""
+    for first, second in ((other, one), (one, other), (other, one)):
+        for _, data in first.tick(now):
+            second.heard(now, data)
+    assert one.membership.alive == other.membership.alive == 2
+
+
+@given(st.data())
+@settings(max_examples=300, deadline=None)
+def test_a_datagram_that_is_not_whole_is_dropped_and_counted(data: st.DataObject) -> None:
+    one, other = speaker(0), speaker(1)
+    other.tell(0, Limit(3.0, 2.0))
+    whole = bytearray(other.tick(0)[0][1])
+    how = data.draw(st.sampled_from(["flip", "cut", "noise"]))
+    if how == "flip":
+        whole[data.draw(st.integers(0, len(whole) - 1))] ^= 1 << data.draw(st.integers(0, 7))
+    spoilt = {
+        "flip": bytes(whole),
+        "cut": bytes(whole[: data.draw(st.integers(0, len(whole) - 1))]),
+        "noise": data.draw(st.binary(max_size=80)),
+    }[how]
+    assert one.heard(0, spoilt) == []
+    assert sum(one.dropped.values()) == 1 and one.membership.alive == 1 and not one.book.told
+
+
+def test_another_fleet_a_newer_format_and_a_former_life_are_told_apart() -> None:
+    one = speaker(0)
+    newer = bytearray(Packer(one.fleet, Kind.PROBE, 9, 1, 0).whole())
+    newer[2] += 1
+    spoilt = {
+        "fleet": Packer(1, Kind.PROBE, 9, 1, 0).whole(),
+        "format": bytes(newer),
+        "stranger": Packer(one.fleet, Kind.PROBE, 9, 1, 12345).whole(),
+        "own": Packer(one.fleet, Kind.PROBE, one.life, 1, 0).whole(),
+    }
+    for data in spoilt.values():
+        one.heard(0, data)
+    assert one.dropped == dict.fromkeys(spoilt, 1)
+
+
+def test_figures_that_no_router_has_are_not_believed_and_a_datagram_keeps_to_its_bound() -> None:
+    packer = Packer(5, Kind.TELL, 9, 0, 0)
+    packer.add(encode_told(Told(9, 0, 1, 0, Limit(float("nan"), 1.0)), 0))
+    with pytest.raises(DatagramError, match="figures"):
+        decode(packer.whole(), 5)
+    full = Packer(5, Kind.TELL, 9, 0, 0)
+    while full.add(encode_told(Told(9, 0, 1, 0, Limit(1.0, 1.0)), 0)):
+        pass
+    assert len(full.whole()) <= MOST
+
+
+def test_a_process_that_slept_blames_nobody_and_refutes_what_was_said_of_it() -> None:
+    me = Peer(1, 0, Standing.ALIVE, bytes(4), 1, "n0")
+    there = Membership(me, [], 1, PERIOD)
+    there.merge(0, Peer(2, 0, Standing.ALIVE, bytes(4), 1, "n1"))
+    for tick in range(4):
+        there.tick(tick * PERIOD)  # probes go out; nobody answers
+    there.tick(30 * SECOND)
+    assert [one.standing for one in there.members()] == [Standing.ALIVE]
+    there.merge(30 * SECOND, replace(me, standing=Standing.DEAD))
+    assert there.me.rank > (0, Standing.DEAD)
+    for tick in range(1, 60):
+        there.tick(30 * SECOND + tick * PERIOD)
+    assert not list(there.members())
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_a_fleet_finds_itself_again_after_a_cut_and_buries_those_that_ended(loss: float) -> None:
+    plan = Gossip(12, loss=loss, seconds=3, cut_s=10, kill=0.7)
+    measured = Talk(plan, 4).play()
+    assert measured.missing == 0 and measured.records < 100
+    assert 0 < measured.known_s < 5 and 0 < measured.healed_s < 10 and 0 < measured.buried_s < 10
+    for kind, ages in measured.ages_ms.items():
+        assert max(ages) <= max(bound.age for of, bound in BOUNDS.items() if of.__name__ == kind) / MILLI
+
+
+# What the module makes of it
+
+
+def hearing() -> Router:
+    return Router(router_settings(peers=True))
+
+
+def test_a_server_is_left_alone_by_a_quorum_and_not_by_one_router() -> None:
+    router = hearing()
+    name = router.serve("k")
+    router.wait(3 * SECOND)
+    router.tell(api.Fleet(9, accused={name: (1, 1)}))
+    assert router.balancer.avoided == 0
+    router.tell(api.Fleet(9, accused={name: (3, 9)}))
+    assert router.balancer.avoided == 0  # most of those who speak of it say that it answers
+    router.tell(api.Fleet(9, accused={name: (3, 4)}))
+    assert router.balancer.avoided == 1
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send) and send.server != name
+
+
+def test_an_answer_of_its_own_counts_for_more_than_hearsay_and_hearsay_is_not_passed_on() -> None:
+    router = hearing()
+    name = router.serve("k")
+    router.tell(api.Fleet(9, accused={name: (8, 8)}))
+    assert router.balancer.avoided == 0
+    router.wait(3 * SECOND)
+    router.tell(api.Fleet(9, accused={name: (8, 8), "never-listed": (8, 8), "origin": (8, 8)}))
+    assert router.balancer.avoided == 1
+    told = [action for action in router.wait(2 * SECOND) if isinstance(action, api.Tell)]
+    assert told and not any(action.failing for action in told)
+
+
+def test_no_more_than_a_part_of_the_servers_is_out_by_hearsay() -> None:
+    router = hearing()
+    router.wait(3 * SECOND)
+    router.tell(api.Fleet(9, accused={f"c{number}": (9, 9) for number in range(4)}))
+    assert router.balancer.avoided == 1  # of five listed, the origin among them
+
+
+def test_what_fails_a_router_is_told_until_it_answers_again() -> None:
+    router = hearing()
+    _, (first,) = router.ask("k")
+    assert isinstance(first, api.Send)
+    router.end(first, api.Status.CONNECT_FAILED)
+    (told, *_) = [one for one in router.wait(SECOND) if isinstance(one, api.Tell)]
+    assert told.failing == {first.server: 1}
+    voice, kinds = Voice(speaker(0)), {"cache": 0}
+    voice.say(0, told, kinds)
+    assert voice.speaker.own[Verdict, digest(first.server)].body == Verdict(True, 1)
+    voice.say(SECOND, replace(told, failing={}), kinds)
+    (record,) = [one for key, one in voice.speaker.book.told.items() if key[0] is Verdict]
+    assert record.body == Verdict(False, 0) and not any(key[0] is Verdict for key in voice.speaker.own)
+
+
+def test_a_router_that_starts_takes_over_the_fleets_shares_and_then_draws_near() -> None:
+    router = hearing()
+    router.tell(api.Fleet(9, shares={0: 0.4}))
+    assert router.balancer.roster.kinds[0].share == pytest.approx(0.4)
+    router.tell(api.Fleet(9, shares={0: 0.8}))
+    assert router.balancer.roster.kinds[0].share == pytest.approx(0.5)
