Add the durable store, and a search through every state that a loss of power may leave

Need: what is kept on disk has one form each place (calls by hand: synced, unchecked), and nothing shows that a start is right after a loss of power.

Change: applehub/durable/: one value in two generations, framed with a checksum over all, written aside, synced, renamed over the older, the folder synced; a lock; a newer format left alone. lab/powerloss.py records a store's operations and opens it from every state that a power loss may leave after each, and from every flipped bit.

Five mutants are found: no sync before the rename, no folder sync, a checksum without the head, the older generation first, no lock. Eight SIGKILLs of a process that saves all the time: what it said yes to is there. ENOSPC at each operation: told, the value before holds.

--- /dev/null
+++ b/applehub/durable/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a process: whole or absent, checked when read."""
--- /dev/null
+++ b/tests/test_durable.py
@@ -0,0 +1,130 @@
+"""Stores: right after any loss of power, over crashes of real processes, on sick disks."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from applehub.durable.folder import Folder
+from applehub.durable.store import HEAD, Loaded, Store, StoreError, framed
+from applehub.lab.powerloss import RecordedDisk, search
+
+VALUES = [b"first", b"a" * 1500, b"b" * 700, b"", b"c" * 1100, bytes(range(256)) * 8]
+
+
+def made(disk: RecordedDisk) -> Store:
+    return Store(disk, "x", 1)
+
+
+def test_a_start_is_right_from_every_state_that_a_loss_of_power_leaves() -> None:
+    verdict = search(VALUES, made)
+    assert verdict.wrong == [] and verdict.states > 100_000
+
+
+class NoSync(Store):
+    def save(self, value: bytes) -> None:
+        self.disk.sync = lambda name: None  # type: ignore[method-assign]
+        super().save(value)
+
+
+class NoFolderSync(Store):
+    def save(self, value: bytes) -> None:
+        self.disk.sync_names = lambda: None  # type: ignore[method-assign]
+        super().save(value)
+
+
+class OlderFirst(Store):
+    def load(self) -> Loaded:
+        loaded = super().load()
+        files = [self.disk.read(file) for file in self.files]
+        whole = [content for content in files if content and len(content) >= HEAD]
+        if len(whole) == 2:
+            loaded.value = min(whole, key=lambda content: content[6:14])[HEAD:]
+        return loaded
+
+
+class NoLock(Store):
+    def open(self) -> Loaded:
+        self.held = True
+        return self.load()
+
+
+@pytest.mark.parametrize("mutant", [NoSync, NoFolderSync, OlderFirst, NoLock])
+def test_each_mutant_is_found(mutant: type[Store]) -> None:
+    assert search(VALUES[:3], lambda disk: mutant(disk, "x", 1), flip_step=7).wrong
+
+
+def test_a_checksum_that_leaves_out_the_head_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("applehub.durable.store.crc32", lambda data, start=0: len(data) and data[-1])
+    assert search(VALUES[:3], made).wrong
+
+
+@pytest.mark.parametrize("operation", ["write", "sync", "rename", "sync_names"])
+def test_a_disk_that_refuses_is_told_and_loses_nothing(operation: str) -> None:
+    disk = RecordedDisk()
+    store = made(disk)
+    store.open()
+    store.save(b"kept")
+    disk.fails = operation
+    with pytest.raises(OSError, match=operation):
+        store.save(b"refused")
+    disk.fails = ""
+    assert store.load().value in (b"kept", b"refused")
+    for state in disk.states():
+        assert made(state).load().value in (b"kept", b"refused")
+    store.save(b"after")
+    assert made(disk).load().value == b"after"
+
+
+def test_what_a_newer_program_keeps_stays_beside_what_an_older_one_writes() -> None:
+    disk = RecordedDisk()
+    newer = framed(2, 7, b"of the newer")
+    disk.write("x.0", newer)
+    store = made(disk)
+    loaded = store.open()
+    assert loaded.value is None and "format 2" in loaded.passed_over[0]
+    store.save(b"one")
+    store.save(b"two")
+    assert disk.read("x.0") == newer and store.load().value == b"two"
+
+
+def test_a_foreign_file_is_named_with_its_offset_and_a_second_writer_refused(tmp_path: Path) -> None:
+    (tmp_path / "x.0").write_bytes(b"not ours, and long enough to be one")
+    store = Store(Folder(str(tmp_path)), "x", 1)
+    assert "x.0: byte 0" in store.open().passed_over[0]
+    with pytest.raises(StoreError, match="another process"):
+        Store(Folder(str(tmp_path)), "x", 1).open()
+    store.close()
+    Store(Folder(str(tmp_path)), "x", 1).open()
+
+
+WRITER = """
+import sys
+from applehub.durable.folder import Folder
+from applehub.durable.store import Store
+store = Store(Folder(sys.argv[1]), "count", 1)
+number = int((store.open().value or b"0")[:6])
+while True:
+    number += 1
+    store.save(b"%06d" % number * 300)
+    print(number, flush=True)
+"""
+
+
+def test_what_a_killed_process_said_yes_to_is_there_at_the_next_start(tmp_path: Path) -> None:
+    said = 0
+    for life in range(8):
+        process = subprocess.Popen(
+            [sys.executable, "-c", WRITER, str(tmp_path)], stdout=subprocess.PIPE, text=True
+        )
+        assert process.stdout is not None
+        for _ in range(1 + 5 * life):
+            said = int(process.stdout.readline())
+        process.kill()
+        rest = process.stdout.read().split()
+        process.wait()
+        said = int(rest[-1]) if rest else said
+        loaded = Store(Folder(str(tmp_path)), "count", 1).load()
+        assert loaded.value in (b"%06d" % said * 300, b"%06d" % (said + 1) * 300)
+    assert said >= 8
