Keep the list last known where state_dir is configured, and start from it when it is newer

Need: a router that crashed starts with the list that the platform hands over, however old, and asks for the rest; with the list service away it goes on with that.

Change: node/keptlist.py keeps what discovery tells in a durable store, at once and then a second after the last save, in a thread beside the event loop; a start takes it in place of `known` where it is newer, under `known`'s version, so that discovery tells again whatever came since. Loaded only where state_dir is told.

A damaged file is passed over for the one before, a held folder is tried again.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -34,6 +34,7 @@
 )
 
 if TYPE_CHECKING:
+    from applehub.node.keptlist import KeptList
     from applehub.node.peering import Peering, PeersTold
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
@@ -70,6 +71,7 @@
     raw: Json
     name: str
     peers: "PeersTold | None"  # none: it hears no other router
+    state_dir: str | None  # where it keeps what outlives it
 
 
 def read_configuration(path: str | None, before: Json | None = None) -> Configuration:
@@ -116,6 +118,7 @@
             told,
             str(told.get("name") or ""),
             read_peers_of(told, info),
+            read_state_dir(told),
         )
     except (OSError, orjson.JSONDecodeError, SettingError, ListError, ValueError) as problem:
         if isinstance(problem, ConfigurationError):
@@ -136,6 +139,14 @@
     return peers
 
 
+def read_state_dir(told: Json) -> str | None:
+    """`state_dir`: a folder of this router's own. Raises ConfigurationError."""
+    folder = told.get("state_dir")
+    if folder is not None and (not isinstance(folder, str) or not os.path.isabs(folder)):
+        raise ConfigurationError(f"state_dir: expected the whole path of a folder, got {folder!r}")
+    return folder
+
+
 def read_discovery(told: Json) -> list[Endpoint]:
     """`discovery`, and `discoveries` where the list service has further addresses. Raises ListError."""
     further = told.get("discoveries") or []
@@ -183,6 +194,7 @@
             raise ConfigurationError(f"can't write in $TMPDIR: {problem}") from None
         self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
         self.peering = self._peering()
+        self.kept = self._kept()
         self._budget(1)
         self.figures.gauges |= {
             "tries": lambda: self.pools.written,
@@ -206,6 +218,18 @@
         self.driver.say = peering.say
         return peering
 
+    def _kept(self) -> "KeptList | None":
+        if self.told.state_dir is None:
+            return None
+        from applehub.node.keptlist import KeptList
+
+        try:
+            kept = KeptList(self.told.state_dir)
+        except OSError as problem:
+            raise ConfigurationError(f"state_dir: {problem}") from None
+        self.directory.took = kept.take
+        return kept
+
     def _calls(self) -> dict[str, Handler]:
         calls: dict[str, Handler] = {
             "HEALTH": lambda _: self.health(),
@@ -278,7 +302,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
-            self.directory.take(told.known, cached=True)
+            self.directory.take(told.known if self.kept is None else self.kept.load(told.known), cached=True)
         except ListError as problem:
             log.warning("the known list is of no use: %s", problem)
         self._look_around()
@@ -310,6 +334,8 @@
             self.peering.stop()
         await self.clients.emptied(killed - GONE_BY - loop.time())
         self.watch.stop()
+        if self.kept is not None:
+            self.kept.close()
         self.console.close()
 
 
--- a/applehub/lab/fleet/ground.py
+++ b/applehub/lab/fleet/ground.py
@@ -324,6 +324,7 @@
             "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
             "known": {"rev": 1, "all": True, "targets": targets},
             "settings": settings(self.plan),
+            **({"state_dir": str(router.disk)} if fleet.keeps else {}),
             **({"peers": self._peers(router)} if fleet.peers else {}),
         }
 
--- a/applehub/lab/fleet/plan.py
+++ b/applehub/lab/fleet/plan.py
@@ -38,6 +38,7 @@
     origin_queue: Count = 60
     list_rate: Positive = 500.0  # calls a second that the list service's stand-in bears
     lists: Literal[0, 1, 3] = 0  # replicas of the project's own list service; 0: the stand-in
+    keeps: bool = False  # the routers keep the list on their disks (state_dir)
     peers: bool = False  # the routers speak with each other
     changes: NotNegative = 0.0  # changes of the list that a writer asks for, a second
 
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -56,6 +56,7 @@
         self.rev = -1
         self.targets: dict[str, Target] = {}
         self.out: set[str] = set()  # left out by hand
+        self.took: Callable[[Json, bool], None] = lambda answer, whole: None  # told what discovery said
         self.origin_of_time = time.time_ns() - time.monotonic_ns()  # once, so that a start keeps its time
 
     @property
@@ -100,6 +101,8 @@
             self._place(target)
         kind = api.ListKind.FULL if whole else api.ListKind.DELTA
         self.tell(api.Members(api.ListKind.CACHED if cached else kind, [one.member for one in entries]))
+        if not cached:
+            self.took(answer, whole)
         return True
 
     def _read(self, entry: Any) -> Target | None:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -1,5 +1,6 @@
 """Stores: right after any loss of power, over crashes of real processes, on sick disks."""
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
@@ -9,6 +10,7 @@
 from applehub.durable.folder import Folder
 from applehub.durable.store import HEAD, Loaded, Store, StoreError, framed
 from applehub.lab.powerloss import RecordedDisk, search
+from applehub.node.keptlist import KeptList
 
 VALUES = [b"first", b"a" * 1500, b"b" * 700, b"", b"c" * 1100, bytes(range(256)) * 8]
 
@@ -128,3 +130,36 @@
         loaded = Store(Folder(str(tmp_path)), "count", 1).load()
         assert loaded.value in (b"%06d" % said * 300, b"%06d" % (said + 1) * 300)
     assert said >= 8
+
+
+async def test_a_router_starts_from_the_newer_of_the_kept_list_and_the_one_it_is_told(tmp_path: Path) -> None:
+    def entries(*states: str) -> list[dict[str, object]]:
+        return [{"uid": f"c{number}", "state": state} for number, state in enumerate(states)]
+
+    told = {"rev": 4, "all": True, "targets": entries("Ready", "Ready", "Ready")}
+    first = KeptList(str(tmp_path))
+    assert first.load(told) == told
+    first.take({"rev": 6, "targets": entries("Ready", "Terminating", "Gone")}, False)
+    first.close()
+    second = KeptList(str(tmp_path))
+    assert second.load(told) == {**told, "targets": entries("Ready", "Terminating")}
+    assert second.load({**told, "rev": 9})["targets"] == told["targets"]
+    for file in tmp_path.glob("list.?"):
+        file.write_bytes(file.read_bytes()[:-1])
+    assert KeptList(str(tmp_path)).load(told) == told
+
+
+async def test_a_list_is_saved_beside_the_loop_and_again_once_the_folder_is_let_go(tmp_path: Path) -> None:
+    other = Store(Folder(str(tmp_path)), "list", 1)
+    other.open()
+    kept = KeptList(str(tmp_path))
+    kept.load({"rev": 1, "targets": []})
+    kept.take({"rev": 2, "targets": [{"uid": "c0", "state": "Ready"}]}, False)
+    while not kept.complained:
+        await asyncio.sleep(0.01)
+    assert other.load().value is None
+    other.close()
+    while kept.complained:
+        await asyncio.sleep(0.01)
+    assert b"c0" in (other.load().value or b"")
+    kept.close()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -48,6 +48,8 @@
     for name, imported in imports().items():
         if name.startswith("applehub.peers"):
             assert all(one.startswith(("applehub.peers", "applehub.interface")) for one in imported), name
+        if name.startswith("applehub.durable"):
+            assert all(one.startswith("applehub.durable") for one in imported), name
 
 
 def test_run_and_sim_load_no_program_beside_them_and_no_library_of_theirs() -> None:
@@ -56,6 +58,7 @@
     theirs = (
         "applehub.lab",
         "applehub.peers",
+        "applehub.durable",
         "applehub.registry",
         "applehub.events",
         "pydantic",
