--- a/applehub/lab/gossip.py
+++ b/applehub/lab/gossip.py
@@ -81,9 +81,9 @@
 
     def _tick(self, number: int) -> None:
         if self.alive[number]:
-            begin = time.perf_counter()
+            begin = time.process_time()
             out = self.speakers[number].tick(self.clock.now)
-            self.cpu += time.perf_counter() - begin
+            self.cpu += time.process_time() - begin
             self._send(number, out)
             self.clock.after(self.period, self._tick, number)
 
@@ -101,10 +101,10 @@
         number, data = what
         if not self.alive[number]:
             return
-        begin = time.perf_counter()
+        begin = time.process_time()
         speaker = self.speakers[number]
         out = speaker.heard(self.clock.now, data)
-        self.cpu += time.perf_counter() - begin
+        self.cpu += time.process_time() - begin
         found = [key for key in self.lacking[number] if (Verdict, *key) in speaker.book.told]
         for key in found:
             self.lacking[number].discard(key)
--- a/applehub/peers/speaker.py
+++ b/applehub/peers/speaker.py
@@ -166,7 +166,7 @@
             elif packer.add(encode_told(one, now)):
                 hot[key] += 1
                 # What is told again and again may now and then miss one; a verdict may not.
-                if hot[key] > (2 + length if key[0] is Verdict else 1 + length // 2):
+                if hot[key] > (2 + length if key[0] is Verdict else max(4, 1 + length // 2)):
                     del hot[key]
 
     # What is heard
