Let a router accuse a server again that it spoke well of a moment ago

Cause: a record that was told no more lost its version; the next of the same subject began at 1, and peers that still held the last took it for an older one for up to 2 s. Found by reading. A router with `peers` and no name is turned down.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -133,6 +133,8 @@
     from applehub.node.peering import read_peers  # here alone: no deployment that lacks the key pays for it
 
     peers, ceilings = read_peers(told["peers"], read_endpoint), info.get("ceilings")
+    if not told.get("name"):
+        raise ConfigurationError("name: expected one, by which other routers know this one")
     if isinstance(ceilings, dict) and ceilings.get("mayTell") is False:
         log.warning("peers is left unused: ceilings.mayTell forbids it")
         return None
--- a/applehub/peers/speaker.py
+++ b/applehub/peers/speaker.py
@@ -22,9 +22,10 @@
     encode_told,
 )
 from applehub.peers.records import BOUNDS, SECOND, Body, Book, Key, Limit, Shares, Told, Verdict, sample
-from applehub.peers.swim import Call, Membership
+from applehub.peers.swim import FORGET, Call, Membership
 
 RETELL: dict[type[Body], int] = {Limit: SECOND // 2, Shares: 2 * SECOND, Verdict: SECOND // 2}
+MOST_OWN = 512  # subjects told of, past which those of long ago are let go
 PEERS_TOLD, PEERS_TO_NEWCOMER = 4, 20  # in a datagram, beside what has changed
 WILD = 4  # times the median at which a figure is cut: one liar in ten moves a sum by a third, and no more
 Out = tuple[Peer | str, bytes]  # to a peer as it is known, or to a configured router by its name
@@ -83,6 +84,8 @@
 
     def tell(self, now: int, body: Body, subject: int = 0) -> None:
         """Takes up what the router has to tell; goes out when it differs, and again before it is old."""
+        if len(self.own) > MOST_OWN:
+            self.own = {key: one for key, one in self.own.items() if now - one.at < FORGET}
         own = self.own.setdefault((type(body), subject), Own())
         changed = isinstance(body, Verdict) and (
             not isinstance(own.body, Verdict) or body.failing is not own.body.failing
@@ -92,8 +95,10 @@
             self._know(Told(self.life, subject, own.version, now, body))
 
     def forget(self, body: type[Body], subject: int) -> None:
-        """Tells of it no more: it grows old everywhere."""
-        self.own.pop((body, subject), None)
+        """Tells of it no more: it grows old everywhere. Its version is kept: others hold the last for a
+        while, and would take one that begins anew for an older one."""
+        if (body, subject) in self.own:
+            self.own[body, subject].body = None
 
     def _know(self, one: Told) -> None:
         if self.book.merge(one):
