Begin the release controller: plans, a machine checked as a model, rehearsals that survive kills

Need: nothing of ours rolls anything out; the operators want staged releases with a halt and a way back.

Change: applehub/release/: plans (TOML, all faults at once), the controller as a pure machine on one record, a model that plays every order of steps, crashes, failures and lost or doubled messages, and commands that carry a plan out on pretend machines kept in the durable store.

A controller killed 12 times at whatever it wrote next ends with all units at the new version and each of 15 orders given one meaning.

--- a/applehub/events.py
+++ b/applehub/events.py
@@ -46,6 +46,9 @@
     HELD = "held"  # of, servers: the versions of all entries at the primary, in the end
     PEERS = "peers"  # router, figures: what it hears of the other routers
     AGREED = "agreed"  # routers: each of so many that run knows of just those
+    RELEASE = "release"  # mode, why: how a release stands from now on
+    ORDERED = "ordered"  # unit, number, step, version: an order to an agent
+    STEPPED = "stepped"  # unit, number, good: what came of it
     CALL = "call"  # router, words, answer: an operator's call
 
 
--- /dev/null
+++ b/applehub/release/__main__.py
@@ -0,0 +1,156 @@
+"""Commands of a release: `python -m applehub.release`. Code 2: a plan or a folder is of no use; 3: halted."""
+
+import sys
+from collections import Counter
+from collections.abc import Callable
+from contextlib import closing
+from functools import wraps
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from applehub.durable.store import StoreError
+from applehub.events import EventError, read
+from applehub.release.machine import Mode, Release
+from applehub.release.plan import Plan, PlanError, load_plan
+from applehub.release.rehearsal import Kept, Rehearsal
+
+STATE = click.option(
+    "--state", "folder", required=True, type=click.Path(file_okay=False, path_type=Path), help="Its folder."
+)
+JSON = click.option("--json", "as_json", is_flag=True, help="As JSON.")
+
+
+def guarded(call: Callable[..., None]) -> Callable[..., None]:
+    """What is of no use ends with code 2 and a line for each fault."""
+
+    @wraps(call)
+    def wrapped(*words: Any, **named: Any) -> None:
+        try:
+            call(*words, **named)
+        except (PlanError, StoreError, EventError, OSError) as problem:
+            click.echo(str(problem), err=True)
+            sys.exit(2)
+
+    return wrapped
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Staged releases of cache servers, of the program and of its configuration."""
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@JSON
+@guarded
+def plan(file: Path, as_json: bool) -> None:
+    """Checks plan FILE and shows its stages."""
+    told = load_plan(file)
+    stages = list(zip(told.stages, told.batches(), strict=True))
+    if as_json:
+        shown = [{"stage": one.name, "units": names, "watch_s": one.watch_s} for one, names in stages]
+        click.echo(orjson.dumps(shown).decode())
+        return
+    most = told.limits.out_at_once
+    click.echo(f"{told.name}: {told.what} from {told.old} to {told.new}, {most} out at once")
+    for one, names in stages:
+        click.echo(f"  {one.name}: {', '.join(names)}; watched {one.watch_s:g} s")
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@STATE
+@click.option("--pace", type=click.FloatRange(1, 10_000), default=60.0, help="Times faster [60].")
+@click.option("--step-s", type=click.FloatRange(0, 600), default=5.0, show_default=True, help="Of the plan.")
+@click.option("--broken", multiple=True, help="A unit on which the new version never comes up.")
+@click.option("--again", is_flag=True, help="Tries a version once more that was returned.")
+@guarded
+def rehearse(
+    file: Path, folder: Path, pace: float, step_s: float, broken: tuple[str, ...], again: bool
+) -> None:
+    """Carries plan FILE out on pretend machines; goes on where it was cut off, also by SIGKILL."""
+    told: Plan = load_plan(file)
+    with closing(Kept(folder)) as kept:
+        kept.begin(told, again)
+        mode = Rehearsal(kept, pace, set(broken), step_s).run()
+        _show(kept, False)
+    sys.exit(3 if mode is Mode.HALTED else 0)
+
+
+def _show(kept: Kept, as_json: bool) -> None:
+    record = kept.record
+    if as_json:
+        click.echo(orjson.dumps(record.plain()).decode())
+        return
+    versions = Counter(unit.version for unit in record.units.values())
+    click.echo(f"{record.old} to {record.new}: {record.mode}" + (f", {record.why}" if record.why else ""))
+    click.echo("  " + ", ".join(f"{count} at {version}" for version, count in sorted(versions.items())))
+    on_way = [f"{name} to {unit.target}" for name, unit in record.units.items() if unit.target]
+    if on_way:
+        click.echo("  on the way: " + ", ".join(on_way))
+
+
+def _opened(folder: Path, hold: bool) -> Kept:
+    kept = Kept(folder, hold)
+    if kept.record is None:
+        kept.close()
+        raise PlanError(f"{folder}: no release was begun here")
+    return kept
+
+
+@main.command()
+@STATE
+@JSON
+@guarded
+def status(folder: Path, as_json: bool) -> None:
+    """Shows how a release stands."""
+    with closing(_opened(folder, False)) as kept:
+        _show(kept, as_json)
+
+
+@main.command()
+@STATE
+@guarded
+def history(folder: Path) -> None:
+    """Prints what happened, a line each."""
+    for one in read(folder / "events.jsonl"):
+        click.echo(one.line())
+
+
+def _said(folder: Path, what: Callable[[Release], object]) -> None:
+    with closing(_opened(folder, True)) as kept:
+        what(Release(kept.record))
+        kept.keep()
+        _show(kept, False)
+
+
+@main.command()
+@STATE
+@click.option("--why", default="by staff", show_default=True)
+@guarded
+def halt(folder: Path, why: str) -> None:
+    """Lets nothing new begin; what is on its way is finished by `rehearse`."""
+    _said(folder, lambda release: release.halt(why))
+
+
+@main.command()
+@STATE
+@guarded
+def resume(folder: Path) -> None:
+    """Lets a halted release go on; `rehearse` carries it on."""
+    _said(folder, Release.unhalt)
+
+
+@main.command()
+@STATE
+@guarded
+def back(folder: Path) -> None:
+    """Turns a release round, to the old version; `rehearse` carries it on."""
+    _said(folder, Release.turn_back)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/applehub/release/model.py
@@ -0,0 +1,203 @@
+"""The controller checked as a model: every order of steps, crashes, failures, and messages lost, late or
+doubled, to a stated depth. Time is whether everything that waits is due; each tick says that it is.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+import orjson
+
+from applehub.release.machine import Mode, Order, Record, Release, Unit
+
+Answer = tuple[str, int, bool]  # unit, number, whether it was carried out
+
+
+@dataclass(slots=True)
+class Agent:
+    """A unit's agent, and the truth about its unit."""
+
+    version: str
+    out: bool = False
+    last: int = 0  # the number of the last order that it carried out, or failed to
+    good: bool = True
+
+    def take(self, order: Order, fails: bool) -> str:
+        """Carries an order out; gives what is wrong with being asked to, if anything."""
+        self.last, self.good = order.number, not fails
+        wrong = (
+            "" if self.out is (order.step in ("replace", "admit")) else f"{order.step} while out={self.out}"
+        )
+        if not fails:
+            match order.step:
+                case "drain":
+                    self.out = True
+                case "replace" | "upgrade":
+                    self.version = order.version
+                case "admit":
+                    self.out = False
+        return "" if order.step == "upgrade" else wrong
+
+
+@dataclass(slots=True)
+class World:
+    """One state: the controller's record, the agents, what is on its way, and what may still go wrong."""
+
+    record: Record
+    agents: dict[str, Agent]
+    orders: set[Order] = field(default_factory=set)
+    answers: set[Answer] = field(default_factory=set)
+    fails: int = 0
+    crashes: int = 0
+    halts: int = 0
+    backs: int = 0
+    wrong: str = ""
+
+    def copy(self) -> "World":
+        record = replace(
+            self.record, stuck=list(self.record.stuck),
+            units={name: replace(one) for name, one in self.record.units.items()},
+        )  # fmt: skip
+        agents = {name: replace(one) for name, one in self.agents.items()}
+        return replace(self, record=record, agents=agents, orders=set(self.orders), answers=set(self.answers))
+
+    def key(self) -> bytes:
+        orders = sorted((one.unit, one.step, one.version, one.number) for one in self.orders)
+        agents = {name: [one.version, one.out, one.last, one.good] for name, one in self.agents.items()}
+        may = self.fails, self.crashes, self.halts, self.backs, self.wrong
+        told = self.record.plain(), agents, orders, sorted(self.answers), may
+        return orjson.dumps(told, option=orjson.OPT_SORT_KEYS)
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What a mutant changes."""
+
+    make: Callable[[Record], Release] = Release
+    fenced: bool = True  # agents look at the number
+    restart: Callable[[Record], None] = lambda record: None  # what a crash does to the record that was kept
+
+
+class Model:
+    """Explores; `wrong` holds what was found, with the steps that lead there."""
+
+    def __init__(self, rules: Rules, zones: str = "aab", fails: int = 1, crashes: int = 1) -> None:
+        names = [f"u{number}" for number in range(len(zones))]
+        units = {name: Unit(zone, "old") for name, zone in zip(names, zones, strict=True)}
+        record = Record("servers", "old", "new", [names[:1], names[1:]], [1.0, 1.0], 2, 1, 1.0, units)
+        agents = {name: Agent("old") for name in names}
+        self.rules = rules
+        self.first = World(record, agents, fails=fails, crashes=crashes, halts=1, backs=1)
+        self.states = self.deepest = 0
+        self.wrong: list[str] = []
+
+    def explore(self, depth: int, most: int = 1 << 20) -> None:
+        """Breadth first, so that what is found is found by the fewest steps."""
+        seen, queue = {self.first.key()}, deque([(self.first, 0, "")])
+        while queue and not self.wrong and self.states < most:
+            world, steps, path = queue.popleft()
+            self.states, self.deepest = self.states + 1, steps
+            self._judge(world, path)
+            if steps == depth:
+                continue
+            for name, after in self._next(world):
+                key = after.key()
+                if key not in seen:
+                    seen.add(key)
+                    queue.append((after, steps + 1, f"{path} {name}"))
+
+    def _next(self, world: World) -> Iterator[tuple[str, World]]:
+        for order in sorted(world.orders, key=lambda one: one.number):
+            of = f"{order.number}({order.unit})"
+            yield f"{order.step}#{of}", self._carried(world.copy(), order, False)
+            if world.fails:
+                yield f"fails#{of}", self._carried(world.copy(), order, True)
+            lost = world.copy()
+            lost.orders.discard(order)
+            yield f"loses#{of}", lost
+        for answer in sorted(world.answers):
+            yield f"hears#{answer[1]}", self._heard(world.copy(), answer)
+            lost = world.copy()
+            lost.answers.discard(answer)
+            yield f"loses answer#{answer[1]}", lost
+        yield "tick", self._told(world.copy(), lambda release: release.tick(1.0))
+        record = world.record
+        if world.crashes:
+            after = world.copy()
+            after.crashes -= 1
+            self.rules.restart(after.record)
+            yield "crash", self._told(after, lambda release: release.pending(1.0))
+        if world.halts and record.mode in (Mode.RUNNING, Mode.BACK):
+            after = world.copy()
+            after.halts -= 1
+            self.rules.make(after.record).halt("staff")
+            yield "halt", after
+        if world.backs and record.mode is not Mode.RETURNED:
+            after = world.copy()
+            after.backs -= 1
+            self.rules.make(after.record).turn_back()
+            yield "back", after
+
+    def _carried(self, world: World, order: Order, fails: bool) -> World:
+        """An agent gets an order; the order stays, so that it may come again."""
+        agent = world.agents[order.unit]
+        if self.rules.fenced and order.number < agent.last:
+            return world
+        if not self.rules.fenced or order.number > agent.last:
+            world.fails -= fails
+            wrong = agent.take(order, fails)
+            world.wrong = world.wrong or (wrong and f"{order.unit}: {wrong}")
+        world.answers.add((order.unit, order.number, agent.good))
+        return world
+
+    def _heard(self, world: World, answer: Answer) -> World:
+        return self._told(world, lambda release: release.answered(1.0, *answer))
+
+    def _told(self, world: World, what: Callable[[Release], list[Order]]) -> World:
+        """The controller hears something: its record is kept, then its orders go out."""
+        record = world.record
+        halted = record.mode is Mode.HALTED
+        on_way = {name for name, one in record.units.items() if one.target}
+        orders = what(self.rules.make(record))
+        if halted and record.mode is Mode.HALTED and any(order.unit not in on_way for order in orders):
+            world.wrong = world.wrong or "a unit begins while the release is halted"
+        world.orders.update(orders)
+        for one in record.units.values():
+            one.sent = 0.0
+        record.watched = min(record.watched, 0.0)
+        return world
+
+    def _judge(self, world: World, path: str) -> None:
+        record, out = world.record, [name for name, one in world.agents.items() if one.out]
+        found = world.wrong
+        if len({record.units[name].zone for name in out}) > 1:
+            found = f"out in two zones: {out}"
+        elif len(out) > record.out_at_once:
+            found = f"out at once: {out}"
+        elif record.mode in (Mode.DONE, Mode.RETURNED):
+            want = record.new if record.mode is Mode.DONE else record.old
+            bad = [name for name, one in world.agents.items() if one.version != want or one.out]
+            if bad:
+                found = f"{record.mode}, and not so: {bad}"
+        if not found:
+            found = self._ends(world)
+        if found:
+            self.wrong.append(f"{found}, after:{path}")
+
+    def _ends(self, world: World) -> str:
+        """With nothing lost and nothing failing any more, it comes to an end: nobody is left on the way."""
+        after = world.copy()
+        after.fails = 0
+        for _ in range(60):
+            for order in sorted(after.orders, key=lambda one: one.number):
+                self._carried(after, order, False)
+            for answer in sorted(after.answers):
+                self._heard(after, answer)
+            after.orders.clear()
+            after.answers.clear()
+            record = after.record
+            on_way = [name for name, one in record.units.items() if one.target and name not in record.stuck]
+            if not on_way and record.mode in (Mode.DONE, Mode.RETURNED, Mode.HALTED):
+                return ""
+            self._told(after, lambda release: release.tick(1.0))
+        return f"never ends: {after.record.mode}"
--- /dev/null
+++ b/applehub/release/plan.py
@@ -0,0 +1,97 @@
+"""A release's plan: what is released, in which stages, within which limits."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, model_validator
+
+from applehub.checked import Part, checked, read_toml
+
+Count = Annotated[int, Field(ge=1)]
+Seconds = Annotated[float, Field(ge=0, le=86_400)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class PlanError(ValueError):
+    """A plan is of no use; a line for each fault of it."""
+
+
+class Unit(Part):
+    """One process that is released to: a cache server or a router."""
+
+    name: Name
+    zone: Name
+
+
+class Stage(Part):
+    """Units that are taken together: a number of them, or a part of what is left, in some zones or all."""
+
+    name: Name
+    zones: list[Name] = Field(default=[])  # none: all, one after another
+    count: Count | None = None
+    part: Annotated[float, Field(gt=0, le=1)] | None = None
+    watch_s: Seconds = 60.0  # after its last unit, before the next stage
+
+    @model_validator(mode="after")
+    def _one_size(self) -> "Stage":
+        if (self.count is None) == (self.part is None):
+            raise ValueError("expected either count or part")
+        return self
+
+
+class Limits(Part):
+    """How many units may be out at once, and how often a step is tried before its unit is returned."""
+
+    out_at_once: Count = 1
+    tries: Annotated[int, Field(ge=1, le=10)] = 2
+    step_s: Annotated[float, Field(gt=0, le=3600)] = 60.0  # without an answer: asked again
+
+
+class Plan(Part):
+    """A whole plan."""
+
+    name: Name
+    what: Literal["servers", "routers", "configuration"]
+    old: Name
+    new: Name
+    limits: Limits = Limits()
+    stages: Annotated[list[Stage], Field(min_length=1)]
+    fleet: Annotated[list[Unit], Field(min_length=1)]
+
+    @model_validator(mode="after")
+    def _makes_sense(self) -> "Plan":
+        names, zones = [unit.name for unit in self.fleet], {unit.zone for unit in self.fleet}
+        faults = [
+            f"fleet: {name} stands there twice" for name in sorted({n for n in names if names.count(n) > 1})
+        ]
+        faults += [
+            f"stages.{number}: {stage.name}: no unit of the fleet is in zone {zone}"
+            for number, stage in enumerate(self.stages)
+            for zone in stage.zones
+            if zone not in zones
+        ]
+        if self.old == self.new:
+            faults.append("new: expected another version than old")
+        left = set(names) - {name for stage in self.batches() for name in stage}
+        if not faults and left:
+            faults.append(f"stages: {len(left)} units are in none, {min(left)} among them")
+        if faults:
+            raise ValueError("; ".join(faults))
+        return self
+
+    def batches(self) -> list[list[str]]:
+        """The units of each stage, zone after zone, in the order of their names."""
+        left = sorted(self.fleet, key=lambda unit: (unit.zone, unit.name))
+        batches = []
+        for stage in self.stages:
+            able = [unit for unit in left if not stage.zones or unit.zone in stage.zones]
+            most = stage.count if stage.count is not None else round((stage.part or 1) * len(able))
+            taken = able[: max(1, most)]
+            left = [unit for unit in left if unit not in taken]
+            batches.append([unit.name for unit in taken])
+        return batches
+
+
+def load_plan(path: Path) -> Plan:
+    """Reads a plan's file. Raises PlanError."""
+    return checked(str(path), Plan, read_toml(path, PlanError), PlanError)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -60,6 +60,7 @@
         "applehub.peers",
         "applehub.durable",
         "applehub.registry",
+        "applehub.release",
         "applehub.events",
         "pydantic",
         "click",
--- /dev/null
+++ b/tests/test_release.py
@@ -0,0 +1,138 @@
+"""Releases: the controller as a model, its mutants, plans of no use, and a controller that is killed."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from applehub.events import Event, read
+from applehub.release.__main__ import main
+from applehub.release.machine import Mode, Order, Record, Release
+from applehub.release.model import Model, Rules
+from applehub.release.plan import PlanError, load_plan
+
+PLAN = """
+name = "cache-1.8"
+what = "servers"
+old = "1.7"
+new = "1.8"
+limits = { out_at_once = 2 }
+stages = [{ name = "canary", count = 1, watch_s = 20 }, { name = "rest", part = 1.0, watch_s = 10 }]
+fleet = [{ name = "c0", zone = "a" }, { name = "c1", zone = "a" }, { name = "c2", zone = "a" },
+         { name = "c3", zone = "b" }, { name = "c4", zone = "b" }]
+"""
+
+
+@pytest.fixture
+def plan(tmp_path: Path) -> Path:
+    file = tmp_path / "plan.toml"
+    file.write_text(PLAN)
+    return file
+
+
+def test_every_order_of_steps_crashes_and_lost_messages_keeps_the_rules() -> None:
+    model = Model(Rules())
+    model.explore(depth=9)
+    assert model.wrong == [] and model.states > 2_000 and model.deepest == 9
+
+
+class TwoZones(Release):
+    def _begin(self, now: float, waiting: list[str], version: str) -> list[Order]:
+        zones = {name: one.zone for name, one in self.record.units.items()}
+        for one in self.record.units.values():
+            one.zone = "all"
+        orders = super()._begin(now, waiting, version)
+        for name, zone in zones.items():
+            self.record.units[name].zone = zone
+        return orders
+
+
+class BeginsHalted(Release):
+    def tick(self, now: float, well: bool = True) -> list[Order]:
+        halted = self.record.mode is Mode.HALTED
+        self.record.mode = Mode.RUNNING if halted else self.record.mode
+        orders = super().tick(now, well)
+        self.record.mode = Mode.HALTED if halted else self.record.mode
+        return orders
+
+
+class Forgets(Release):
+    def pending(self, now: float) -> list[Order]:
+        for one in self.record.units.values():
+            one.number = 0
+        return []
+
+
+def restarts_numbers(record: Record) -> None:
+    record.number = 0
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        Rules(TwoZones),
+        Rules(BeginsHalted),
+        Rules(Forgets),
+        Rules(fenced=False),
+        Rules(restart=restarts_numbers),
+    ],
+    ids=["two zones", "begins while halted", "forgets what is out", "no fencing", "numbers begin anew"],
+)
+def test_each_mutant_is_found(mutant: Rules) -> None:
+    model = Model(mutant)
+    model.explore(depth=14, most=6_000)
+    assert model.wrong, model.states
+
+
+def test_a_plan_of_no_use_tells_every_fault_of_it(plan: Path) -> None:
+    plan.write_text("more = 1\n" + PLAN)
+    with pytest.raises(PlanError, match="more"):
+        load_plan(plan)
+    plan.write_text(PLAN.replace('new = "1.8"', 'new = "1.7"').replace('"c1"', '"c0"'))
+    with pytest.raises(PlanError, match=r"c0 stands there twice; new: expected another version"):
+        load_plan(plan)
+    plan.write_text(PLAN.replace("part = 1.0", "count = 1"))
+    with pytest.raises(PlanError, match="3 units are in none, c2 among them"):
+        load_plan(plan)
+    assert CliRunner().invoke(main, ["plan", str(plan)]).exit_code == 2
+
+
+def call(*words: str) -> tuple[int, str]:
+    done = CliRunner().invoke(main, list(words))
+    return done.exit_code, done.output
+
+
+def test_a_version_that_never_comes_up_is_halted_and_returned(plan: Path, tmp_path: Path) -> None:
+    state = ["--state", str(tmp_path / "state")]
+    code, said = call("rehearse", str(plan), *state, "--pace", "5000", "--broken", "c2")
+    assert code == 3 and "c2: admit failed 2 times" in said and "on the way" not in said
+    assert call("back", *state)[0] == 0
+    code, said = call("rehearse", str(plan), *state, "--pace", "5000")
+    assert code == 0 and "returned" in said and "5 at 1.7" in said
+    assert call("rehearse", str(plan), *state)[0] == 2  # not again without being told
+    code, said = call("rehearse", str(plan), *state, "--pace", "5000", "--again")
+    assert code == 0 and "5 at 1.8" in said
+
+
+def test_a_controller_killed_between_any_two_steps_does_none_twice(plan: Path, tmp_path: Path) -> None:
+    state = tmp_path / "state"
+    words = [sys.executable, "-m", "applehub.release", "rehearse", str(plan), "--state", str(state), "--pace"]
+    events = state / "events.jsonl"
+    for _ in range(12):
+        before = events.stat().st_size if events.exists() else 0
+        process = subprocess.Popen([*words, "200"], stdout=subprocess.DEVNULL)
+        while process.poll() is None and (not events.exists() or events.stat().st_size == before):
+            pass
+        process.kill()
+        process.wait()
+    assert subprocess.run([*words, "2000"], stdout=subprocess.DEVNULL).returncode == 0
+    record = json.loads(call("status", "--state", str(state), "--json")[1])
+    assert record["mode"] == "done" and {unit["version"] for unit in record["units"].values()} == {"1.8"}
+    steps: dict[int, set[str]] = {}
+    for one in read(events):
+        if one.event is Event.ORDERED:
+            steps.setdefault(one.more["number"], set()).add(f"{one.more['unit']} {one.more['step']}")
+    assert all(len(meant) == 1 for meant in steps.values()) and len(steps) == 15
