--- a/applehub/policy/hearsay.py
+++ b/applehub/policy/hearsay.py
@@ -11,7 +11,7 @@
 QUORUM, MOST_QUORUM = 3, 6  # routers that a server must fail, more in a large fleet: one may be sick itself
 QUORUM_PART = 1 / 8  # of the routers
 AGREED = 3 / 4  # part of those who speak of it; whom it answered speaks for it
-SILENCES = 3  # time-outs in a row from which on a server fails this router
+SILENCES = 1  # time-outs in a row from which on a server fails this router: others vouch for it if it lives
 OWN = 2 * SECOND  # how long an answer that this router had itself counts for more than what it hears
 MOST_OUT = 1 / 4  # part of the listed servers that may be out by hearsay
 
