--- a/applehub/node/peering.py
+++ b/applehub/node/peering.py
@@ -109,11 +109,11 @@
 
     def _tick(self) -> None:
         loop, now = asyncio.get_running_loop(), time.monotonic_ns()
+        self.timer = loop.call_later(self.told.period, self._tick)  # first: whatever fails below, it goes on
         self._send(self.voice.speaker.tick(now))
         if loop.time() - self.heard_at >= HEAR:
             self.heard_at = loop.time()
             self.tell(self.voice.hear(now, self.servers(), self.kinds()))
-        self.timer = loop.call_later(self.told.period, self._tick)
 
     def _send(self, out: list[Out]) -> None:
         if self.transport is None or self.transport.is_closing():
