--- a/applehub/lab/fleet/draw.py
+++ b/applehub/lab/fleet/draw.py
@@ -147,7 +147,7 @@
                 "changes": 5.0 if lists else 0.0,
                 "peers": peers,
             },
-            # Long enough after the last fault for the routers to be held to knowing just those that are there.
+            # Long enough for the routers to be held to knowing just those that are there.
             "load": {"rate": rate, "seconds": seconds, "seed": seed, "after_s": 12.0 if peers else 2.0},
             "faults": [_apart(one, drawn[:number]) for number, one in enumerate(drawn)],
         },
