Let the last save of the list wait for the one under way

Cause: the end of a router cancels the task that saves, and not the thread in which a save runs; with a change that came meanwhile two saves could write the same file beside the store, and the lock could be let go in the midst. Found by reading. Change: saves and the letting go take turns. Result: tests of the store and the kept list pass (15); the race itself was not brought about.

--- a/applehub/node/keptlist.py
+++ b/applehub/node/keptlist.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import threading
 
 import orjson
 
@@ -24,6 +25,7 @@
         self.targets: dict[str, Json] = {}
         self.saved, self.complained = True, False
         self.saving: asyncio.Task[None] | None = None
+        self.alone = threading.Lock()  # the last save may come while one is still under way in its thread
 
     def load(self, known: Json) -> Json:
         """The list to start from: the one that was kept, if it is newer than what the platform hands over.
@@ -84,9 +86,10 @@
 
     def _save(self, value: bytes) -> None:
         try:
-            if not self.store.held:
-                self.store.open()
-            self.store.save(value)
+            with self.alone:
+                if not self.store.held:
+                    self.store.open()
+                self.store.save(value)
             self.complained = False
         except (OSError, StoreError) as problem:
             # Said once: as a rule the old process of an upgrade holds it, until that ends.
@@ -100,4 +103,5 @@
             self.saving.cancel()
         if not self.saved:
             self._save(self._value())
-        self.store.close()
+        with self.alone:
+            self.store.close()
