Write a rehearsal's record and its machines each where it changes

Need: both stores were written twice a round, though each changes once: the record before orders go out, the machines once they have carried them out. Change: two calls in place of one.

--- a/applehub/release/rehearsal.py
+++ b/applehub/release/rehearsal.py
@@ -69,10 +69,15 @@
         self.record.number = number  # agents refuse a lower one
         kept = self.agents or {}
         self.agents = {name: kept.get(name, Agent(plan.old)) for name in self.record.units}
+        self.keep_machines()
         self.keep()
 
     def keep(self) -> None:
+        """What the controller knows."""
         self.records.save(orjson.dumps(self.record.plain()))
+
+    def keep_machines(self) -> None:
+        """What the machines are."""
         self.machines.save(orjson.dumps({name: asdict(one) for name, one in self.agents.items()}))
 
     def close(self) -> None:
@@ -110,7 +115,7 @@
                 continue
             time.sleep(self.step_s / self.pace)
             answers = [(order, self._carry(order)) for order in orders]
-            self.kept.keep()  # the machines' own memory, before the controller hears of it
+            self.kept.keep_machines()  # their own memory, before the controller hears of it
             orders = []
             for order, good in answers:
                 self._say(Event.STEPPED, order, good=good)
