Look for events only where the ground lays them, not in disks that change underneath

The ground looked for events with a walk through all folders of a play; a router's shim replaces its durable folder by rename meanwhile, and the walk of Python 3.11 raises when a folder goes under it. Reproduced with a folder that is renamed in a loop: 885 of 3,000 looks raised. Change: one function names the events files, at the two depths where they lie; no disk is walked.

--- a/applehub/lab/fleet/history.py
+++ b/applehub/lab/fleet/history.py
@@ -58,9 +58,15 @@
         return [one for one in self.records if one.event in events]
 
 
+def files(folder: Path) -> list[Path]:
+    """The events files of a play: the ground's own, and those in each process's folder. Deeper folders are
+    disks, which routers change under whoever walks through them."""
+    return sorted([*folder.glob("events*.jsonl"), *folder.glob("*/events*.jsonl")])
+
+
 def gather(folder: Path) -> History:
     """Merges the events of all processes below a folder, in the order of the clock that they share."""
-    records = [one for path in sorted(folder.rglob("events*.jsonl")) for one in read(path)]
+    records = [one for path in files(folder) for one in read(path)]
     return ordered(records)
 
 
--- a/applehub/lab/fleet/triggers.py
+++ b/applehub/lab/fleet/triggers.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from applehub.events import Record, parse
+from applehub.lab.fleet.history import files
 from applehub.lab.fleet.plan import Trigger
 
 LOOK = 0.02  # s between looks at the files
@@ -46,7 +47,7 @@
             self.look()
 
     def look(self) -> None:
-        for path in self.folder.rglob("events*.jsonl"):
+        for path in files(self.folder):
             with open(path, "rb") as file:
                 file.seek(self.read.get(path, 0))
                 lines = file.readlines()
