Give the list service named locks with fencing numbers, for controllers of releases

Need: two controllers of a release must not act at once, and whoever is told to act must know an older holder from the one of now; the list service has agreement and leases already. Change: PUT and DELETE /v1/locks/NAME on the staff address.

--- a/applehub/events.py
+++ b/applehub/events.py
@@ -48,7 +48,13 @@
     AGREED = "agreed"  # routers: each of so many that run knows of just those
     RELEASE = "release"  # mode, why: how a release stands from now on
     ORDERED = "ordered"  # unit, number, step, version: an order to an agent
-    STEPPED = "stepped"  # unit, number, good: what came of it
+    STEPPED = "stepped"  # unit, number, good, why: what came of it
+    TURNED_DOWN = "turned_down"  # unit, number, why: an agent does not take an order
+    CONDEMNED = "condemned"  # why: a gate finds the new version bad
+    UNWELL = "unwell"  # why: nothing begins meanwhile; none: the fleet is well again
+    WISHED = "wished"  # what: staff want it of a release under way
+    LOCK = "lock"  # held, fence: whether this controller may give orders
+    MOVED = "moved"  # unit, step, version, number, why: a machine carried a step out, or failed to
     CALL = "call"  # router, words, answer: an operator's call
 
 
--- a/applehub/registry/entries.py
+++ b/applehub/registry/entries.py
@@ -11,6 +11,8 @@
 
 import orjson
 
+from applehub.registry.locks import Lock, taken
+
 Json = dict[str, Any]
 STATES = ("Ready", "Terminating", "Gone")
 BASE_STEP = 1 << 20  # versions to a second of the wall clock, for a fresh list's first
@@ -60,6 +62,7 @@
     entries: dict[str, Entry] = field(default_factory=dict)
     changes: deque[Change] = field(default_factory=deque)
     forgotten: int = 0  # the version up to which changes are not kept
+    locks: dict[str, Lock] = field(default_factory=dict)
 
     def apply(self, data: bytes) -> Result:
         """Carries out a command that was agreed on; b"" is none."""
@@ -71,6 +74,8 @@
                 return self._put(told)
             case "state":
                 return self._state(told)
+            case "lock":
+                return self._lock(told)
             case "suspect":  # many at once, by the lease watch
                 for uid in told["uids"]:
                     if uid in self.entries:
@@ -113,6 +118,16 @@
         self._changed(entry, told["state"], told)
         return Result(200, self.version, entry.version)
 
+    def _lock(self, told: Json) -> Result:
+        """Another holder, or none. No version of the list: routers are told of servers alone."""
+        lock = taken(self.locks.get(told["name"]), told)
+        if lock is None:
+            return Result(
+                409, self.version, self.locks[told["name"]].fence if told["name"] in self.locks else 0
+            )
+        self.locks[told["name"]] = lock
+        return Result(200, self.version, lock.fence)
+
     def _changed(self, entry: Entry, state: str, told: Json) -> None:
         self.version = self.version + 1 if self.version else max(1, told.get("base", 1))
         entry.state, entry.version, entry.suspect = state, self.version, False
@@ -145,6 +160,7 @@
             {
                 "version": self.version, "forgotten": self.forgotten, "entries": entries,
                 "changes": [tuple(one) for one in self.changes],
+                "locks": {name: tuple(one) for name, one in self.locks.items()},
             }
         )  # fmt: skip
 
@@ -155,4 +171,5 @@
         told = orjson.loads(data)
         entries = {one[0]: Entry(*one) for one in told["entries"]}
         changes = deque(Change(*one) for one in told["changes"])
-        return cls(kept, told["version"], entries, changes, told["forgotten"])
+        locks = {name: Lock(*one) for name, one in told.get("locks", {}).items()}  # none in older snapshots
+        return cls(kept, told["version"], entries, changes, told["forgotten"], locks)
--- a/applehub/registry/server.py
+++ b/applehub/registry/server.py
@@ -17,6 +17,7 @@
 from applehub.registry.entries import BASE_STEP, STATES, Result
 from applehub.registry.host import Host, NotPrimaryError
 from applehub.registry.leases import Leases
+from applehub.registry.locks import Holds
 from applehub.registry.watches import Answers, Turns, Watchers
 
 MOST_HOLD = 60.0  # s, by the protocol
@@ -43,6 +44,15 @@
     endpoints: dict[str, str] = {}
 
 
+class Claim(BaseModel):
+    """What who wants a lock tells."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    holder: Annotated[str, Field(min_length=1, max_length=200)]
+    lease_ms: Annotated[int, Field(ge=100, le=3_600_000)] = 10_000
+
+
 class Metrics:
     """Figures of one replica, for a scraper."""
 
@@ -73,6 +83,7 @@
         self.answers, self.watchers, self.metrics = Answers(), Watchers(), Metrics()
         self.callers = 0
         self.leases = Leases(config.leases.brake_part, config.leases.brake_least)
+        self.holds, self.holds_term = Holds(), -1
         self.turns = self._turns()
         self.led = self.ending = False
         self.runners: list[web.AppRunner] = []
@@ -101,6 +112,8 @@
         staff.router.add_post("/v1/servers/{uid}/state", self.state)
         staff.router.add_delete("/v1/servers/{uid}", self.delete)
         staff.router.add_get("/v1/servers", self.servers)
+        staff.router.add_put("/v1/locks/{name}", self.lock)
+        staff.router.add_delete("/v1/locks/{name}", self.unlock)
         staff.router.add_get("/v1/status", self.status)
         staff.router.add_get("/metrics", self.scrape)
         found = []
@@ -254,17 +267,20 @@
         told = request.query.get("expected")
         return None if told is None else int(told)
 
+    def _of_no_use(self, error: ValidationError) -> web.Response:
+        faults = [
+            {"key": ".".join(map(str, one["loc"])) or "the whole", "expected": one["msg"]}
+            for one in error.errors()
+        ]
+        return self._json(400, {"error": "of no use", "faults": faults})
+
     async def put(self, request: web.Request) -> web.Response:
         """Registers a server, or changes it; the same again changes nothing."""
         try:
             told = Registration.model_validate_json(await request.read())
             expected = self._expected(request)
         except ValidationError as error:
-            faults = [
-                {"key": ".".join(map(str, one["loc"])) or "the whole", "expected": one["msg"]}
-                for one in error.errors()
-            ]
-            return self._json(400, {"error": "of no use", "faults": faults})
+            return self._of_no_use(error)
         except ValueError:
             return self._json(400, {"error": "expected: expected a whole number"})
         uid = request.match_info["uid"]
@@ -303,6 +319,56 @@
             {"do": "state", "uid": request.match_info["uid"], "state": wanted, "expected": expected}
         )
 
+    async def lock(self, request: web.Request) -> web.Response:
+        """Takes a lock that is free or whose lease has run out, or renews one's own."""
+        try:
+            claim = Claim.model_validate_json(await request.read())
+        except ValidationError as error:
+            return self._of_no_use(error)
+        name, now = request.match_info["name"], time.monotonic_ns()
+        if not self._may_judge(now):
+            return self._elsewhere("not the primary")
+        lock = self.host.entries.locks.get(name)
+        left = self.holds.left(now, name, lock)
+        if lock is not None and left and lock.holder == claim.holder:
+            self.holds.renew(now, name)
+            return self._json(200, {"fence": lock.fence, "lease_ms": lock.lease_ms})
+        if lock is not None and left:
+            return self._json(409, {"error": "held", "holder": lock.holder, "left_ms": left // 1_000_000})
+        command = {"do": "lock", "name": name, **claim.model_dump(), "expected": lock.fence if lock else 0}
+        return await self._locked(name, command)
+
+    async def unlock(self, request: web.Request) -> web.Response:
+        """Lets a lock go, if `holder` holds it; else nothing changes."""
+        name, now = request.match_info["name"], time.monotonic_ns()
+        if not self._may_judge(now):
+            return self._elsewhere("not the primary")
+        lock = self.host.entries.locks.get(name)
+        if lock is None or lock.holder != request.query.get("holder"):
+            return self._json(409, {"error": "not held by that holder"})
+        command = {"do": "lock", "name": name, "holder": "", "lease_ms": 0, "expected": lock.fence}
+        return await self._locked(name, command)
+
+    def _may_judge(self, now: int) -> bool:
+        """Whether this replica knows who has renewed: a primary, from the moment that it became one."""
+        led = self.host.is_primary()
+        if led and self.holds_term != self.host.replica.term:
+            self.holds.begin(now)
+            self.holds_term = self.host.replica.term
+        return led
+
+    async def _locked(self, name: str, command: Json) -> web.Response:
+        command["base"] = time.time_ns() // 1_000_000_000 * BASE_STEP
+        asked = time.monotonic_ns()
+        try:
+            result = await self.host.propose(orjson.dumps(command))
+        except NotPrimaryError as problem:
+            return self._elsewhere(str(problem))
+        if result.status == 409:
+            return self._json(409, {"error": "taken meanwhile", "fence": result.entry})
+        self.holds.renew(asked, name)
+        return self._json(200, {"fence": result.entry, "lease_ms": command["lease_ms"]})
+
     async def delete(self, request: web.Request) -> web.Response:
         return await self._agreed({"do": "state", "uid": request.match_info["uid"], "state": "Gone"})
 
--- a/applehub/release/__main__.py
+++ b/applehub/release/__main__.py
@@ -1,6 +1,8 @@
 """Commands of a release: `python -m applehub.release`. Code 2: a plan or a folder is of no use; 3: halted."""
 
+import asyncio
 import sys
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import closing
@@ -10,16 +12,20 @@
 
 import click
 import orjson
+from prometheus_client import start_http_server
 
 from applehub.durable.store import StoreError
 from applehub.events import EventError, read
-from applehub.release.machine import Mode, Release
-from applehub.release.plan import Plan, PlanError, load_plan
-from applehub.release.rehearsal import Kept, Rehearsal
+from applehub.release.controller import Controller
+from applehub.release.kept import Kept, say
+from applehub.release.machine import Mode
+from applehub.release.plan import PlanError, load_plan
+from applehub.release.rehearsal import rehearse
 
 STATE = click.option(
     "--state", "folder", required=True, type=click.Path(file_okay=False, path_type=Path), help="Its folder."
 )
+AGAIN = click.option("--again", is_flag=True, help="Tries a version once more that was returned.")
 JSON = click.option("--json", "as_json", is_flag=True, help="As JSON.")
 
 
@@ -60,22 +66,38 @@
         click.echo(f"  {one.name}: {', '.join(names)}; watched {one.watch_s:g} s")
 
 
-@main.command()
+@main.command("rehearse")
 @click.argument("file", type=click.Path(path_type=Path))
 @STATE
 @click.option("--pace", type=click.FloatRange(1, 10_000), default=60.0, help="Times faster [60].")
 @click.option("--step-s", type=click.FloatRange(0, 600), default=5.0, show_default=True, help="Of the plan.")
 @click.option("--broken", multiple=True, help="A unit on which the new version never comes up.")
-@click.option("--again", is_flag=True, help="Tries a version once more that was returned.")
+@AGAIN
 @guarded
-def rehearse(
+def rehearse_plan(
     file: Path, folder: Path, pace: float, step_s: float, broken: tuple[str, ...], again: bool
 ) -> None:
     """Carries plan FILE out on pretend machines; goes on where it was cut off, also by SIGKILL."""
-    told: Plan = load_plan(file)
+    mode, kept = rehearse(folder, load_plan(file), again, pace, set(broken), step_s)
+    _show(kept, False)
+    sys.exit(3 if mode is Mode.HALTED else 0)
+
+
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@STATE
+@AGAIN
+@click.option("--metrics", type=click.IntRange(0, 65535), help="Port of 127.0.0.1 for a scraper.")
+@guarded
+def start(file: Path, folder: Path, again: bool, metrics: int | None) -> None:
+    """Carries plan FILE out through its units' agents; goes on where it was cut off, also by SIGKILL."""
+    told = load_plan(file)
     with closing(Kept(folder)) as kept:
         kept.begin(told, again)
-        mode = Rehearsal(kept, pace, set(broken), step_s).run()
+        controller = Controller(kept, told, folder)
+        if metrics is not None:
+            start_http_server(metrics, "127.0.0.1", controller.metrics.registry)
+        mode = asyncio.run(controller.run())
         _show(kept, False)
     sys.exit(3 if mode is Mode.HALTED else 0)
 
@@ -93,22 +115,21 @@
         click.echo("  on the way: " + ", ".join(on_way))
 
 
-def _opened(folder: Path, hold: bool) -> Kept:
-    kept = Kept(folder, hold)
-    if kept.record is None:
-        kept.close()
-        raise PlanError(f"{folder}: no release was begun here")
-    return kept
-
-
 @main.command()
 @STATE
+@click.option("--watch", is_flag=True, help="Again each second, until the release has ended or is halted.")
 @JSON
 @guarded
-def status(folder: Path, as_json: bool) -> None:
+def status(folder: Path, watch: bool, as_json: bool) -> None:
     """Shows how a release stands."""
-    with closing(_opened(folder, False)) as kept:
-        _show(kept, as_json)
+    while True:
+        with closing(Kept(folder, hold=False)) as kept:
+            if kept.record is None:
+                raise PlanError(f"{folder}: no release was begun here")
+            _show(kept, as_json)
+            if not watch or kept.record.mode not in (Mode.RUNNING, Mode.BACK):
+                return
+        time.sleep(1)
 
 
 @main.command()
@@ -120,11 +141,12 @@
         click.echo(one.line())
 
 
-def _said(folder: Path, what: Callable[[Release], object]) -> None:
-    with closing(_opened(folder, True)) as kept:
-        what(Release(kept.record))
-        kept.keep()
-        _show(kept, False)
+def _said(folder: Path, what: str, why: str = "") -> None:
+    if say(folder, what, why):
+        with closing(Kept(folder, hold=False)) as kept:
+            _show(kept, False)
+    else:
+        click.echo(f"{what}: left to the controller that is at work")
 
 
 @main.command()
@@ -132,24 +154,24 @@
 @click.option("--why", default="by staff", show_default=True)
 @guarded
 def halt(folder: Path, why: str) -> None:
-    """Lets nothing new begin; what is on its way is finished by `rehearse`."""
-    _said(folder, lambda release: release.halt(why))
+    """Lets nothing new begin; what is on its way is finished."""
+    _said(folder, "halt", why)
 
 
 @main.command()
 @STATE
 @guarded
 def resume(folder: Path) -> None:
-    """Lets a halted release go on; `rehearse` carries it on."""
-    _said(folder, Release.unhalt)
+    """Lets a halted release go on; `start` or `rehearse` carries it on."""
+    _said(folder, "resume")
 
 
 @main.command()
 @STATE
 @guarded
 def back(folder: Path) -> None:
-    """Turns a release round, to the old version; `rehearse` carries it on."""
-    _said(folder, Release.turn_back)
+    """Turns a release round, to the old version; `start` or `rehearse` carries it on."""
+    _said(folder, "back")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/applehub/release/controller.py
@@ -0,0 +1,210 @@
+"""A release on real units: looks at the agents, plays what they tell to the machine and the gates, keeps the
+record, and only then sends what is to be done.
+
+One controller at a time: with the list service's lock where the plan names that service, and in any case one
+process to a folder. A controller whose lease may have run out orders nothing."""
+
+import asyncio
+import logging
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from applehub.events import Event
+from applehub.release.gates import Figures, Gate, Verdict
+from applehub.release.kept import ENDED, Kept, Wishes
+from applehub.release.machine import Mode, Order, Release
+from applehub.release.plan import Plan, PlanError
+
+CALL = aiohttp.ClientTimeout(total=2.0)
+LEASE = 8.0  # s of the lock
+LOCK = "release"  # one for the fleet: two releases at once are two causes for one effect
+KEEP = 5.0  # s between two times that evidence is kept: a crash loses no more of it
+FAILED = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+log = logging.getLogger("applehub.release")
+
+
+class Metrics:
+    """Figures of one controller, for a scraper."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.units = Gauge("release_units", "Units by version", ["version"], registry=self.registry)
+        self.out = Gauge("release_units_out", "Units on their way", registry=self.registry)
+        self.odds = Gauge(
+            "release_odds", "Likelihood that the new version is worse", ["failure"], registry=self.registry
+        )
+        self.orders = Counter("release_orders", "Orders sent, by step", ["step"], registry=self.registry)
+        self.silent = Gauge("release_agents_silent", "Agents that did not answer", registry=self.registry)
+
+
+class Lock:
+    """The list service's lock for this release's controller."""
+
+    def __init__(self, session: aiohttp.ClientSession, lists: list[str], holder: str) -> None:
+        self.session, self.lists, self.holder = session, lists, holder
+        self.fence, self.until = 0, 0.0
+
+    async def hold(self, now: float) -> bool:
+        """Takes or renews it; whether it is held for now. Where no list service is named it always is."""
+        if not self.lists:
+            return True
+        if self.until - now > LEASE * 2 / 3:
+            return True
+        body = {"holder": self.holder, "lease_ms": int(LEASE * 1000)}
+        for address in list(self.lists):
+            try:
+                async with self.session.put(f"http://{address}/v1/locks/{LOCK}", json=body) as answer:
+                    told = await answer.json()
+            except FAILED:
+                continue
+            if answer.status == 200:
+                # By when it was asked for; a part short, since clocks drift.
+                self.fence, self.until = told["fence"], now + LEASE * 0.9
+                self.lists.remove(address)
+                self.lists.insert(0, address)  # the primary, asked first from now on
+                break
+            if answer.status == 409:
+                break
+        return self.until > now
+
+    async def let_go(self) -> None:
+        for address in self.lists:
+            try:
+                url = f"http://{address}/v1/locks/{LOCK}?holder={self.holder}"
+                async with self.session.delete(url) as answer:
+                    if answer.status == 200:
+                        return
+            except FAILED:
+                continue
+
+
+class Controller:
+    """Carries a plan out."""
+
+    def __init__(self, kept: Kept, plan: Plan, folder: Path) -> None:
+        """Raises PlanError where a unit has no agent."""
+        self.kept, self.plan, self.record = kept, plan, kept.record
+        agents = {unit.name: unit.agent for unit in plan.fleet}
+        lacking = [name for name in self.record.units if not agents.get(name)]
+        if lacking:
+            raise PlanError("\n".join(f"fleet: {name}: expected an agent" for name in lacking))
+        self.agents: dict[str, str] = {name: str(agents[name]) for name in self.record.units}
+        self.release, self.gate = Release(kept.record), Gate(plan.gates, kept.record)
+        self.wishes, self.metrics = Wishes(folder), Metrics()
+        self.told: dict[str, Figures | None] = {}
+        self.evidence_kept = 0.0
+        self.unwell = ""
+        self.held = True
+
+    async def run(self) -> Mode:
+        """Goes on until the release has ended or is halted with nothing on its way."""
+        async with aiohttp.ClientSession(timeout=CALL) as session:
+            self.session = session
+            self.lock = Lock(session, list(self.plan.lists), self.record.id)
+            self.kept.keep()
+            orders = self.release.pending(time.time())
+            while True:
+                begun = time.monotonic()
+                self._hold(await self.lock.hold(begun))
+                if self.held:
+                    orders += await self._look()
+                    self._keep(begun)
+                    if self.record.mode not in (Mode.RUNNING, Mode.BACK) and not self._out():
+                        break
+                    await asyncio.gather(*(self._send(order) for order in orders))
+                    orders = []
+                await asyncio.sleep(max(0.0, begun + self.plan.gates.look_s - time.monotonic()))
+            if self.record.mode in ENDED:
+                await self.lock.let_go()
+            return Mode(self.record.mode)
+
+    def _out(self) -> list[str]:
+        return [
+            name for name, unit in self.record.units.items() if unit.target and name not in self.record.stuck
+        ]
+
+    def _hold(self, held: bool) -> None:
+        if held is not self.held:
+            self.held = held
+            self.kept.events.say(Event.LOCK, held=held, fence=self.lock.fence)
+
+    async def _look(self) -> list[Order]:
+        """One look at the whole fleet; gives what is to be done."""
+        answers = await self._ask()
+        orders: list[Order] = []
+        wish = self.wishes.take(self.release)
+        if wish:
+            self.kept.events.say(Event.WISHED, what=wish)
+        for unit, order in answers.items():
+            mine = order.get("release") == self.record.id
+            if mine and order["good"] is not None and order["number"] == self.record.units[unit].number:
+                self.kept.events.say(
+                    Event.STEPPED, unit=unit, number=order["number"], good=order["good"], why=order["why"]
+                )
+                orders += self.release.answered(time.time(), unit, order["number"], order["good"])
+        verdict = self.gate.look(time.monotonic(), self.told)
+        if verdict.halt and self.record.mode is Mode.RUNNING:
+            self.kept.events.say(Event.CONDEMNED, why=verdict.halt)
+            self.release.condemn(verdict.halt)
+        self._note(verdict)
+        return orders + self.release.tick(time.time(), not verdict.unwell, verdict.spare)
+
+    def _note(self, verdict: Verdict) -> None:
+        if verdict.unwell != self.unwell and bool(verdict.unwell) is not bool(self.unwell):
+            self.kept.events.say(Event.UNWELL, why=verdict.unwell)
+        self.unwell = verdict.unwell
+        units = self.record.units.values()
+        for version in (self.record.old, self.record.new):
+            self.metrics.units.labels(version).set(sum(unit.version == version for unit in units))
+        self.metrics.out.set(len(self._out()))
+        for name, one in self.gate.evidence.items():
+            self.metrics.odds.labels(name).set(one.odds)
+
+    def _keep(self, now: float) -> None:
+        if now - self.evidence_kept >= KEEP:
+            self.evidence_kept, self.record.evidence = now, self.gate.plain()
+        self.kept.keep()
+
+    async def _ask(self) -> dict[str, dict[str, Any]]:
+        """Asks all agents; gives each unit's last order. An agent that does not answer tells of no unit."""
+        addresses = list(dict.fromkeys(self.agents.values()))
+        told = dict(zip(addresses, await asyncio.gather(*map(self._units, addresses)), strict=True))
+        self.metrics.silent.set(sum(one is None for one in told.values()))
+        orders = {}
+        for unit, address in self.agents.items():
+            one = (told[address] or {}).get(unit)
+            self.told[unit] = None if one is None else one["figures"]
+            if one is not None and one["order"]:
+                orders[unit] = one["order"]
+        return orders
+
+    async def _units(self, address: str) -> dict[str, Any] | None:
+        try:
+            async with self.session.get(f"http://{address}/v1/units") as answer:
+                units: dict[str, Any] = orjson.loads(await answer.read())["units"]
+                return units
+        except (*FAILED, KeyError):
+            return None
+
+    async def _send(self, order: Order) -> None:
+        """Sends an order; one that did not arrive is sent again after the plan's step_s."""
+        self.metrics.orders.labels(order.step).inc()
+        self.kept.events.say(
+            Event.ORDERED, unit=order.unit, number=order.number, step=order.step, version=order.version
+        )
+        body = {
+            "release": self.record.id, "fence": self.lock.fence, "unit": order.unit, "step": order.step,
+            "version": order.version, "number": order.number,
+        }  # fmt: skip
+        try:
+            async with self.session.post(f"http://{self.agents[order.unit]}/v1/orders", json=body) as answer:
+                if answer.status >= 400:
+                    why = orjson.loads(await answer.read()).get("error", "")
+                    self.kept.events.say(Event.TURNED_DOWN, unit=order.unit, number=order.number, why=why)
+        except FAILED as problem:
+            log.info("%s: %s did not arrive: %r", order.unit, order.step, problem)
--- /dev/null
+++ b/applehub/release/kept.py
@@ -0,0 +1,134 @@
+"""What a controller keeps in its folder: the release's record, what staff wish of it, and its events."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from applehub.durable.folder import Folder
+from applehub.durable.store import Store, StoreError
+from applehub.events import Event, Writer
+from applehub.release.machine import Mode, Record, Release, Unit
+from applehub.release.plan import Plan, PlanError
+
+FORM = 1
+ENDED = (Mode.DONE, Mode.RETURNED)
+WISHES: dict[str, Callable[[Release, str], None]] = {
+    "halt": lambda release, why: release.halt(why),
+    "resume": lambda release, _: release.unhalt(),
+    "back": lambda release, _: release.turn_back(),
+}
+
+
+def record_of(plan: Plan) -> Record:
+    """A release that has not begun."""
+    units = {unit.name: Unit(unit.zone, plan.old) for unit in plan.fleet}
+    limits, watch = plan.limits, [stage.watch_s for stage in plan.stages]
+    return Record(
+        plan.what, plan.old, plan.new, plan.batches(), watch, limits.out_at_once, limits.tries, limits.step_s,
+        units, id=f"{plan.name}-{time.time_ns():x}", back_on_halt=plan.back_on_halt,
+    )  # fmt: skip
+
+
+def read_store(store: Store, hold: bool, make: Callable[[Any], Any]) -> Any:
+    """What a store holds, made of its JSON; none where there is nothing. Raises StoreError, PlanError."""
+    value = (store.open() if hold else store.load()).value
+    try:
+        return None if value is None else make(orjson.loads(value))
+    except (ValueError, KeyError, TypeError) as problem:
+        raise PlanError(f"{store.name}: what is kept makes no sense: {problem!r}") from None
+
+
+class Kept:
+    """A release's record, in a folder that one process holds to change it."""
+
+    def __init__(self, folder: Path, hold: bool = True) -> None:
+        """Raises StoreError where another process holds it, PlanError where what is kept is of no use."""
+        self.disk = Folder(str(folder))
+        self.records = Store(self.disk, "release", FORM)
+        self.record = read_store(self.records, hold, Record.of)
+        self.saved = self._plain()
+        self.events = Writer(folder / "events.jsonl", "release", 0)
+        self.mode: Mode | None = None if self.record is None else self.record.mode
+
+    def begin(self, plan: Plan, again: bool) -> bool:
+        """Takes up a plan, or goes on with it; whether it is a new one. Raises PlanError."""
+        if self.record is not None and self.record.mode not in ENDED:
+            if (self.record.old, self.record.new) != (plan.old, plan.new):
+                raise PlanError(f"{self.record.new} is being released here, and has not come to its end")
+            return False
+        if self.record is not None and self.record.new == plan.new:
+            if self.record.mode is Mode.DONE:
+                return False
+            if not again:
+                raise PlanError(
+                    f"{plan.new} was returned: {self.record.why or 'by staff'}; --again tries it anew"
+                )
+        number = self.record.number if self.record is not None else 0
+        self.record = record_of(plan)
+        self.record.number = number  # agents refuse a lower one
+        return True
+
+    def _plain(self) -> bytes:
+        return b"" if self.record is None else orjson.dumps(self.record.plain())
+
+    def keep(self) -> None:
+        """Keeps what the controller knows, where it has changed; tells how the release stands."""
+        plain = self._plain()
+        if plain != self.saved:
+            self.records.save(plain)
+            self.saved = plain
+        if self.record.mode is not self.mode:
+            self.mode = self.record.mode
+            self.events.say(Event.RELEASE, mode=self.mode, why=self.record.why)
+
+    def close(self) -> None:
+        self.records.close()
+        self.events.close()
+
+
+class Wishes:
+    """What staff wish of a release while a controller holds its record: one wish, until it is taken up."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = Store(Folder(str(folder)), "wish", FORM)
+        self.taken = self.store.load().generation
+
+    def say(self, what: str, why: str) -> None:
+        """Raises StoreError where another process is at it."""
+        self.store.open()
+        self.store.save(orjson.dumps({"what": what, "why": why}))
+        self.store.close()
+
+    def take(self, release: Release) -> str:
+        """Has the release do what is wished, once; gives what that was."""
+        try:
+            found = self.store.load()
+            if found.generation <= self.taken or found.value is None:
+                return ""
+            self.taken = found.generation
+            told = orjson.loads(found.value)
+            WISHES[told["what"]](release, told["why"])
+            return str(told["what"])
+        except (OSError, ValueError, KeyError, TypeError):
+            return ""
+
+
+def say(folder: Path, what: str, why: str) -> bool:
+    """Carries out what staff wish, or leaves it to the controller that holds the record; whether it is done.
+    Raises StoreError, PlanError."""
+    try:
+        kept = Kept(folder)
+    except StoreError:
+        Wishes(folder).say(what, why)
+        return False
+    try:
+        if kept.record is None:
+            raise PlanError(f"{folder}: no release was begun here")
+        WISHES[what](Release(kept.record), why)
+        kept.keep()
+    finally:
+        kept.close()
+    return True
--- a/applehub/release/machine.py
+++ b/applehub/release/machine.py
@@ -67,6 +67,9 @@
     number: int = 0
     why: str = ""
     stuck: list[str] = field(default_factory=list)  # units that neither came up nor could be returned
+    id: str = ""  # of this release, by which agents know its orders from another's
+    back_on_halt: bool = False  # what is found bad is returned without staff
+    evidence: dict[str, Any] = field(default_factory=dict)  # of the gates, see gates.py
 
     def plain(self) -> dict[str, Any]:
         """For JSON."""
@@ -92,6 +95,12 @@
         if self.record.mode in (Mode.RUNNING, Mode.BACK):
             self.record.mode, self.record.why = Mode.HALTED, why
 
+    def condemn(self, why: str) -> None:
+        """The new version is found bad: a halt, and the way back where the plan wants that."""
+        self.halt(why)
+        if self.record.back_on_halt and self.record.mode is Mode.HALTED:
+            self.turn_back()
+
     def unhalt(self) -> None:
         """Lets it go on with the new version, also after a way back was halted."""
         if self.record.mode is Mode.HALTED:
@@ -122,24 +131,28 @@
         one.tries += 1
         if one.tries < record.tries:
             return self._order(now, unit)
-        self.halt(f"{unit}: {steps[one.step]} failed {one.tries} times")
+        why = f"{unit}: {steps[one.step]} failed {one.tries} times"
         if one.target == record.old:
+            self.halt(why)
             record.stuck.append(unit)  # stays out until staff say more
             return []
+        self.condemn(why)
         self._turn(one, record.old)
         return self._order(now, unit)
 
-    def tick(self, now: float, well: bool = True) -> list[Order]:
-        """Time has passed. well: whether the fleet is; while it is not, nothing begins."""
+    def tick(self, now: float, well: bool = True, spare: int | None = None) -> list[Order]:
+        """Time has passed. well: whether the fleet is; while it is not, nothing begins but a way back. spare:
+        how many more may be out by the load; a way back takes one all the same, since what is to be returned
+        may itself be why there is no room."""
         record, orders = self.record, []
         for name, one in record.units.items():
             if one.number and now - one.sent >= record.step_s:
                 one.sent = now
                 orders.append(self._again(name))
         if record.mode is Mode.RUNNING and well:
-            orders += self._forward(now)
+            orders += self._forward(now, spare)
         elif record.mode is Mode.BACK:
-            orders += self._backward(now)
+            orders += self._backward(now, spare)
         return orders
 
     def pending(self, now: float) -> list[Order]:
@@ -153,14 +166,14 @@
 
     # How it goes on
 
-    def _forward(self, now: float) -> list[Order]:
+    def _forward(self, now: float, spare: int | None) -> list[Order]:
         record = self.record
         while True:
             batch = record.batches[record.stage]
             waiting = [name for name in batch if self._needs(name, record.new)]
             if waiting or self._out():
                 record.watched = -1.0
-                return self._begin(now, waiting, record.new)
+                return self._begin(now, waiting, record.new, spare)
             if record.watched < 0:
                 record.watched = now
             if now - record.watched < record.watch_s[record.stage]:
@@ -170,14 +183,15 @@
                 return []
             record.stage, record.watched = record.stage + 1, -1.0
 
-    def _backward(self, now: float) -> list[Order]:
+    def _backward(self, now: float, spare: int | None) -> list[Order]:
         record = self.record
         names = [name for batch in record.batches for name in batch]
         waiting = [name for name in reversed(names) if self._needs(name, record.old)]
         if not waiting and not self._out():
             record.mode, record.stage, record.watched = Mode.RETURNED, 0, -1.0
             return []
-        return self._begin(now, waiting, record.old)
+        least = None if spare is None else max(spare, 0 if self._out() else 1)
+        return self._begin(now, waiting, record.old, least)
 
     def _needs(self, name: str, version: str) -> bool:
         one = self.record.units[name]
@@ -187,9 +201,9 @@
         """Units that are on their way."""
         return [name for name, one in self.record.units.items() if one.target]
 
-    def _begin(self, now: float, waiting: list[str], version: str) -> list[Order]:
+    def _begin(self, now: float, waiting: list[str], version: str, spare: int | None) -> list[Order]:
         """As many as the limits let: one zone at a time, and of those on their way only so many."""
-        record, orders = self.record, []
+        record, orders, begun = self.record, list[Order](), 0
         for name in waiting:
             out, one = self._out(), record.units[name]
             zones = {record.units[other].zone for other in out}
@@ -197,7 +211,8 @@
                 if not one.number and name not in record.stuck:  # it was stuck, and staff say more
                     self._turn(one, version)
                     orders += self._order(now, name)
-            elif len(out) < record.out_at_once and zones <= {one.zone}:
+            elif len(out) < record.out_at_once and zones <= {one.zone} and (spare is None or begun < spare):
+                begun += 1
                 one.target, one.step, one.tries = version, 0, 0
                 orders += self._order(now, name)
         return orders
--- a/applehub/release/plan.py
+++ b/applehub/release/plan.py
@@ -12,6 +12,11 @@
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 
 
+Address = Annotated[str, Field(pattern=r"^[^\s:/]+:\d{1,5}$")]
+Positive = Annotated[float, Field(gt=0)]
+Part01 = Annotated[float, Field(ge=0, le=1)]
+
+
 class PlanError(ValueError):
     """A plan is of no use; a line for each fault of it."""
 
@@ -21,6 +26,7 @@
 
     name: Name
     zone: Name
+    agent: Address | None = None  # who carries steps out there; `rehearse` needs none
 
 
 class Stage(Part):
@@ -47,6 +53,22 @@
     step_s: Annotated[float, Field(gt=0, le=3600)] = 60.0  # without an answer: asked again
 
 
+class Gates(Part):
+    """How the new version is held against the old one while both serve."""
+
+    look_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0  # between looks
+    alpha: Annotated[float, Field(gt=0, le=0.1)] = (
+        0.01  # releases of a version that is as good that are halted
+    )
+    least: Annotated[float, Field(gt=0, lt=1)] = 0.005  # failures a request more that are not worth a halt
+    silent_s: Positive = 10.0  # a new unit that tells nothing for so long counts as bad
+    settle_s: Seconds = 0.0  # after a unit came in, until its misses and its costs count
+    cost: Annotated[float, Field(gt=1)] = 2.0  # times the old version's processor time and memory
+    cost_s: Positive = 10.0  # for so long, without a break
+    unwell: Part01 = 0.2  # part of the old version's requests that fail lately: nothing begins
+    busy: Annotated[float, Field(gt=0, le=1)] = 0.8  # part of the others' capacity that may be in use
+
+
 class Plan(Part):
     """A whole plan."""
 
@@ -55,6 +77,9 @@
     old: Name
     new: Name
     limits: Limits = Limits()
+    gates: Gates = Gates()
+    lists: list[Address] = Field(default=[])  # the list service's staff addresses, for the controllers' lock
+    back_on_halt: bool = False  # what is found bad is returned without staff
     stages: Annotated[list[Stage], Field(min_length=1)]
     fleet: Annotated[list[Unit], Field(min_length=1)]
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -278,6 +278,21 @@
         service.retune(parse("x", {**config.model_dump(mode="json"), "views": {"127.0.0.1": "v"}}))
         assert (await targets())[1]["targets"][0]["endpoint"] == "127.0.0.1:2"
 
+        mine, other = ({"holder": name, "lease_ms": 60_000} for name in ("me", "another"))
+        assert (await ask("PUT", "/v1/locks/release", {"holder": ""}))[0] == 400
+        status, held = await ask("PUT", "/v1/locks/release", mine)
+        assert status == 200 and (await ask("PUT", "/v1/locks/release", mine)) == (200, held)  # renewed
+        status, told = await ask("PUT", "/v1/locks/release", other)
+        assert status == 409 and told["holder"] == "me" and 0 < told["left_ms"] <= 60_000
+        assert (await ask("DELETE", "/v1/locks/release?holder=another"))[0] == 409
+        service.holds.renewed["release"] = service.holds.began = time.monotonic_ns() - 61 * SECOND
+        status, told = await ask("PUT", "/v1/locks/release", other)  # its holder has not renewed
+        assert status == 200 and told["fence"] > held["fence"]
+        assert (await ask("PUT", "/v1/locks/release", mine))[0] == 409
+        assert (await ask("DELETE", "/v1/locks/release?holder=another"))[0] == 200
+        assert (await ask("PUT", "/v1/locks/release", mine))[1]["fence"] > told["fence"]
+        assert Entries.restored(9, host.entries.snapshot()).locks == host.entries.locks
+
         for name in ("l0", "l1", "l2"):
             assert (await ask("PUT", f"/v1/servers/{name}", {**body, "lease_ms": 60_000}))[0] == 200
         long_ago = time.monotonic_ns() - 121 * SECOND
