Read events that are being written only up to the last whole line

Who reads line by line beside the writer gets the first part of a line at the file's end, and the rest as another line a moment later. Change: one function reads a file at once and gives what is whole; both readers use it.

--- a/applehub/events.py
+++ b/applehub/events.py
@@ -124,9 +124,15 @@
     return record
 
 
+def whole_lines(path: Path, since: int = 0) -> list[bytes]:
+    """The lines of a file from a byte on that are whole by now, each with its end. It is read at once: who
+    reads line by line beside the writer gets the first part of a line, and then the rest as another."""
+    with open(path, "rb") as file:
+        file.seek(since)
+        content = file.read()
+    return content[: content.rfind(b"\n") + 1].splitlines(keepends=True)
+
+
 def read(path: Path) -> Iterator[Record]:
     """All events of a file, in order. A last line that was cut off with its process is left out."""
-    with open(path, "rb") as file:
-        for line in file:
-            if line.endswith(b"\n"):
-                yield parse(line)
+    return map(parse, whole_lines(path))
--- a/applehub/lab/fleet/triggers.py
+++ b/applehub/lab/fleet/triggers.py
@@ -6,7 +6,7 @@
 from fnmatch import fnmatchcase
 from pathlib import Path
 
-from applehub.events import Record, parse
+from applehub.events import Record, parse, whole_lines
 from applehub.lab.fleet.history import files
 from applehub.lab.fleet.plan import Trigger
 
@@ -48,11 +48,7 @@
 
     def look(self) -> None:
         for path in files(self.folder):
-            with open(path, "rb") as file:
-                file.seek(self.read.get(path, 0))
-                lines = file.readlines()
-            if lines and not lines[-1].endswith(b"\n"):
-                lines.pop()
+            lines = whole_lines(path, self.read.get(path, 0))
             self.read[path] = self.read.get(path, 0) + sum(map(len, lines))
             if self.armed:
                 for line in lines:
