--- a/applehub/release/controller.py
+++ b/applehub/release/controller.py
@@ -166,7 +166,7 @@
             self.metrics.odds.labels(name).set(one.odds)
 
     def _keep(self, now: float) -> None:
-        if now - self.evidence_kept >= KEEP:
+        if now - self.evidence_kept >= KEEP and self.gate.learnt(now):
             self.evidence_kept, self.record.evidence = now, self.gate.plain()
         self.kept.keep()
 
--- a/applehub/release/evidence.py
+++ b/applehub/release/evidence.py
@@ -10,16 +10,21 @@
 A difference that is not worth a halt: the old version is credited with `least` failures a request that it
 never had. Their count is no random one, and log x <= x - 1 keeps the mean from growing all the same.
 
-Failures come in bursts, and units of one version differ: the evidence is divided by the dispersion of the old
-version's own units (Pearson's chi-square by its degrees of freedom, as in quasi-likelihood: Wedderburn 1974).
+Units are unlike: each is held against how it failed beside the others while it had the old version (its
+weight; drawn towards 1 while little was seen). Failures come in bursts: the evidence is divided by the
+dispersion of the old version's own units (Pearson's chi-square by its degrees of freedom, as in
+quasi-likelihood: Wedderburn 1974).
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 RATIOS = (1.25, 1.5, 2.0, 4.0, 16.0)  # of rates that are looked for
+PRIOR = (
+    10.0  # failures that a unit must have been expected to have before its own count for half of its weight
+)
 MOST = 600.0  # bound on a logarithm, so that its power stays a number
 
 
@@ -39,28 +44,39 @@
     logs: list[float] = field(default_factory=lambda: [0.0] * len(RATIOS))
     chi: float = 0.0  # the old units' squared distances from their common rate
     freedom: int = 0
+    known: dict[str, tuple[float, int]] = field(default_factory=dict)  # by unit, while old: expected, had
 
-    def add(self, new: Iterable[Count], old: Iterable[Count]) -> None:
-        """Takes up one look: the units of each version that served in it."""
-        new, old = list(new), [one for one in old if one.requests > 0]
-        asked_new, asked_old = sum(one.requests for one in new), sum(one.requests for one in old)
-        if not asked_new or not asked_old:
+    def add(self, new: Mapping[str, Count], old: Mapping[str, Count]) -> None:
+        """Takes up one look: the units of each version, by name."""
+        asked_old = sum(one.requests for one in old.values())
+        if not asked_old:
             return  # nothing to hold it against
-        failed_new = sum(one.failures for one in new)
-        failed_old = sum(one.failures for one in old)
-        self._disperse(old, failed_old / asked_old)
-        share = asked_new / (asked_new + asked_old)
+        bears = {name: one.requests * self.weight(name) for name, one in (*new.items(), *old.items())}
+        failed_old, bear_old = sum(one.failures for one in old.values()), sum(bears[name] for name in old)
+        share = sum(bears[name] for name in new) / sum(bears.values())
+        failed_new = sum(one.failures for one in new.values())
         credited = failed_old + self.least * asked_old
-        for number, ratio in enumerate(RATIOS):
+        for number, ratio in enumerate(RATIOS if share else ()):
             if_worse = ratio * share / (ratio * share + 1 - share)
             self.logs[number] += failed_new * math.log(if_worse / share)
             self.logs[number] += credited * math.log((1 - if_worse) / (1 - share))
-
-    def _disperse(self, old: list[Count], rate: float) -> None:
-        if rate > 0 and len(old) > 1:
-            expected = [(one.failures, one.requests * rate) for one in old]
-            self.chi += sum((failures - mean) ** 2 / mean for failures, mean in expected)
-            self.freedom += len(old) - 1
+        if failed_old and len(old) > 1:
+            self._learn(old, bears, failed_old / bear_old, failed_old / asked_old)
+
+    def weight(self, name: str) -> float:
+        """How much oftener a unit failed than the others while all had the old version."""
+        expected, failures = self.known.get(name, (0.0, 0))
+        return (failures + PRIOR) / (expected + PRIOR)
+
+    def _learn(self, old: Mapping[str, Count], bears: Mapping[str, float], each: float, rate: float) -> None:
+        for name, one in old.items():
+            if not one.requests:
+                continue
+            mean = bears[name] * each
+            self.chi += (one.failures - mean) ** 2 / mean
+            expected, failures = self.known.get(name, (0.0, 0))
+            self.known[name] = (expected + one.requests * rate, failures + one.failures)
+        self.freedom += sum(one.requests > 0 for one in old.values()) - 1
 
     @property
     def dispersion(self) -> float:
--- a/applehub/release/gates.py
+++ b/applehub/release/gates.py
@@ -2,8 +2,9 @@
 what agents tell of their units. Pure.
 
 An agent tells of a unit, each where the unit has it: `life`, another at each start; counts since that start
-(`requests`, and of those `failed`, `refused`, `late`, `missed`); `cpu_s` and `memory_mb`; `busy`, the part of
-its capacity in use. What the old version's units tell, the new one's must tell as well.
+(`requests`, and of those `failed`, `refused`, `late`, `missed`; `cpu_s`; `work_s`, the time that requests
+held it up); `memory_mb`; `busy`, the part of its capacity in use. What the old version's units tell, the new
+one's must tell as well.
 """
 
 from collections.abc import Mapping
@@ -16,6 +17,7 @@
 from applehub.release.plan import Gates
 
 FAILURES = ("failed", "refused", "late", "missed")
+COUNTS = ("requests", *FAILURES, "cpu_s", "work_s")
 AT_ONCE = frozenset(("failed", "refused", "late"))  # count from a unit's first request on
 LATELY = 10  # looks over which the old version's failures tell whether the fleet is well
 ENOUGH = 20  # requests in them
@@ -49,22 +51,27 @@
         self.seen: dict[str, _Seen] = {}
         self.lately: list[Count] = []  # the old version's, by look
         self.dear: dict[str, float] = {}  # since when a cost of the new version is too high
+        self.watched = 0.0  # since when all units are watched
         kept = record.evidence
         self.evidence = {
             name: Evidence(gates.least, gates.alpha / len(FAILURES), **kept.get(name, {}))
             for name in FAILURES
         }
 
+    def learnt(self, now: float) -> bool:
+        """Whether there is evidence to keep: the old version was watched for long enough."""
+        return bool(self.record.evidence) or now - self.watched >= self.gates.before_s
+
     def plain(self) -> dict[str, Any]:
         """The evidence, for the record: a controller that was killed goes on with it."""
         return {
-            name: {"logs": list(one.logs), "chi": one.chi, "freedom": one.freedom}
+            name: {"logs": list(one.logs), "chi": one.chi, "freedom": one.freedom, "known": dict(one.known)}
             for name, one in self.evidence.items()
         }
 
     def look(self, now: float, told: Mapping[str, Figures | None]) -> Verdict:
         """told: by unit what its agent told; none where there was no answer."""
-        record = self.record
+        record, self.watched = self.record, self.watched or now
         deltas: dict[str, dict[str, float]] = {}
         for name, unit in record.units.items():
             seen = self.seen.setdefault(name, _Seen(now))
@@ -76,7 +83,11 @@
                     seen.heard = now  # it is on its way: the steps' own limits hold
                 continue
             seen.heard = now
-            before = seen.figures if seen.figures.get("life") == figures.get("life") else {}
+            before = seen.figures
+            if figures.get("life") != before.get("life") or any(
+                figures.get(name, 0.0) < before.get(name, 0.0) for name in COUNTS
+            ):
+                before = {}  # another start: its counts begin anew
             first = not seen.figures
             seen.figures = figures
             if not unit.target and not first:
@@ -90,7 +101,9 @@
             )
             or self._dear(now, [n for n in new if n in deltas], [n for n in old if n in deltas], deltas)
         )
-        return Verdict(halt, self._unwell(now, old, deltas), self._spare(new + old))
+        return Verdict(
+            halt, self._unwell(now, old, deltas) or self._too_soon(now, new), self._spare(new + old)
+        )
 
     def _silent(self, now: float, new: list[str], old: list[str]) -> str:
         """Guards against a version that can't say how it fares. Where the old units are silent too, it is not
@@ -105,6 +118,13 @@
                 return f"{name}: does not tell {', '.join(missing)}"
         return ""
 
+    def _too_soon(self, now: float, new: list[str]) -> str:
+        """Guards against units that are unlike: how each fails with the old version is learnt first. A
+        controller that goes on with a release has learnt it."""
+        if new or self.learnt(now):
+            return ""
+        return f"the old version is watched for {self.gates.before_s:g} s first"
+
     def _lost(self, now: float, old: list[str]) -> bool:
         silent = [name for name in old if now - self.seen[name].heard > self.gates.silent_s / 2]
         return len(silent) > SILENT_PART * len(old)
@@ -115,12 +135,12 @@
 
             def counts(
                 of: dict[str, dict[str, float]], kind: str = kind, settled: float = settled
-            ) -> list[Count]:
-                return [
-                    Count(int(one.get("requests", 0)), int(one[kind]))
+            ) -> dict[str, Count]:
+                return {
+                    name: Count(int(one.get("requests", 0)), int(one[kind]))
                     for name, one in of.items()
                     if kind in one and now - self.seen[name].since >= settled
-                ]
+                }
 
             evidence.add(counts(new), counts(old))
             if evidence.worse:
@@ -128,17 +148,23 @@
         return ""
 
     def _dear(self, now: float, new: list[str], old: list[str], deltas: dict[str, dict[str, float]]) -> str:
-        """Processor time a request over all units of a version, and the middle one's memory."""
+        """Processor time and work a request over all units of a version, and the middle one's memory."""
         new = [name for name in new if now - self.seen[name].since >= self.gates.settle_s]
 
-        def processor(names: list[str]) -> float:
-            spent = sum(deltas[name].get("cpu_s", 0.0) for name in names)
+        def each(kind: str, names: list[str]) -> float:
+            spent = sum(deltas[name].get(kind, 0.0) for name in names)
             return spent / max(1.0, sum(deltas[name].get("requests", 0.0) for name in names))
 
+        def processor(names: list[str]) -> float:
+            return each("cpu_s", names)
+
+        def work(names: list[str]) -> float:
+            return each("work_s", names)
+
         def memory(names: list[str]) -> float:
             return median(self.seen[name].figures.get("memory_mb", 0.0) for name in names)
 
-        for what, cost in (("processor time", processor), ("memory", memory)):
+        for what, cost in (("processor time", processor), ("work", work), ("memory", memory)):
             if not new or not old or cost(new) <= self.gates.cost * cost(old):
                 self.dear.pop(what, None)
             elif now - self.dear.setdefault(what, now) >= self.gates.cost_s:
--- a/applehub/release/plan.py
+++ b/applehub/release/plan.py
@@ -62,6 +62,7 @@
     )
     least: Annotated[float, Field(gt=0, lt=1)] = 0.005  # failures a request more that are not worth a halt
     silent_s: Positive = 10.0  # a new unit that tells nothing for so long counts as bad
+    before_s: Seconds = 300.0  # of looks at the old version, before anything begins: what each unit is like
     settle_s: Seconds = 0.0  # after a unit came in, until its misses and its costs count
     cost: Annotated[float, Field(gt=1)] = 2.0  # times the old version's processor time and memory
     cost_s: Positive = 10.0  # for so long, without a break
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -1,6 +1,7 @@
 """Releases: the controller as a model, its mutants, plans of no use, and a controller that is killed."""
 
 import json
+import random
 import subprocess
 import sys
 from pathlib import Path
@@ -10,9 +11,12 @@
 
 from applehub.events import Event, read
 from applehub.release.__main__ import main
+from applehub.release.evidence import Count, Evidence
+from applehub.release.gates import Gate, Verdict
+from applehub.release.kept import record_of
 from applehub.release.machine import Mode, Order, Record, Release
 from applehub.release.model import Model, Rules
-from applehub.release.plan import PlanError, load_plan
+from applehub.release.plan import Gates, PlanError, load_plan
 
 PLAN = """
 name = "cache-1.8"
@@ -137,3 +141,72 @@
         if one.event is Event.ORDERED:
             steps.setdefault(one.more["number"], set()).add(f"{one.more['unit']} {one.more['step']}")
     assert all(len(meant) == 1 for meant in steps.values()) and len(steps) == 15
+
+
+def test_a_version_that_fails_oftener_is_told_from_one_that_is_as_good() -> None:
+    """4 new units of 20, 20 requests each a look; of both versions 1 in 100 fails, and at some looks half."""
+
+    def looks(draw: random.Random, more: float) -> int:
+        evidence = Evidence(0.005, 0.0025)
+        for look in range(400):
+            all_fail = 0.5 if look % 40 == 7 else 0.0
+            counts = {
+                f"u{number}": Count(
+                    20, sum(draw.random() < 0.01 + all_fail + more * (number < 4) for _ in range(20))
+                )
+                for number in range(20)
+            }
+            new = {name: one for name, one in counts.items() if name in ("u0", "u1", "u2", "u3")}
+            evidence.add(new, {name: one for name, one in counts.items() if name not in new})
+            if evidence.worse:
+                return look
+        return 400
+
+    assert all(looks(random.Random(seed), 0.0) == 400 for seed in range(12))
+    assert all(looks(random.Random(seed), 0.03) < 100 for seed in range(12))
+
+
+def gate(plan: Path) -> tuple[Gate, Record]:
+    record = record_of(load_plan(plan))
+    record.units["c0"].version = "1.8"
+    return Gate(Gates(before_s=0.0), record), record
+
+
+def told(look: int, **more: float) -> dict[str, float]:
+    return {"life": 1, "requests": 100.0 * look, "failed": 0.0, "cpu_s": 0.1 * look, "busy": 0.3, **more}
+
+
+def test_silence_missing_figures_and_costs_halt_what_the_old_version_does_not_share(plan: Path) -> None:
+    one, record = gate(plan)
+    whole: dict[str, dict[str, float] | None] = {name: told(1) for name in record.units}
+    assert one.look(1.0, whole) == Verdict("", "", 3)
+    assert one.look(13.0, {**whole, "c0": None}).halt == "c0: tells nothing for 10 s"
+    nobody = one.look(40.0, dict.fromkeys(record.units))
+    assert not nobody.halt and "tell nothing" in nobody.unwell  # it is not the version
+
+    one, _ = gate(plan)
+    assert one.look(1.0, {**whole, "c0": {"life": 1}}).halt.startswith("c0: does not tell busy, cpu_s")
+
+    one, record = gate(plan)
+    for look in range(1, 14):
+        dear = {name: told(look, cpu_s=(0.5 if name == "c0" else 0.1) * look) for name in record.units}
+        verdict = one.look(float(look), dear)
+    assert verdict.halt.startswith("processor time: 0.005 against 0.001")
+
+    one, record = gate(plan)
+    for look in range(1, 4):
+        verdict = one.look(
+            float(look), {name: told(look, failed=30.0 * look, busy=0.7) for name in record.units}
+        )
+    assert not verdict.halt and "30% of the old" in verdict.unwell and verdict.spare == 0
+    again = one.look(4.0, {name: told(0, life=2) for name in record.units})  # all began anew, at no count
+    assert not again.halt
+
+
+def test_no_room_holds_a_release_up_and_a_way_back_but_little(plan: Path) -> None:
+    release = Release(record_of(load_plan(plan)))
+    assert release.tick(0.0, True, 0) == [] and release.tick(0.0, False, 5) == []
+    assert [order.unit for order in release.tick(0.0, True, 5)] == ["c0"]
+    release.record.back_on_halt = True
+    release.condemn("a gate")
+    assert release.record.mode is Mode.BACK and release.tick(0.0, False, 0) == []  # c0 is out already
