--- a/applehub/lab/fleet/commands.py
+++ b/applehub/lab/fleet/commands.py
@@ -17,7 +17,7 @@
 from applehub.lab.fleet.draw import draw, shrink
 from applehub.lab.fleet.ground import together
 from applehub.lab.fleet.history import History, gather
-from applehub.lab.fleet.plan import Plan, load_plan
+from applehub.lab.fleet.plan import BAD, Plan, load_plan
 from applehub.lab.fleet.play import run
 from applehub.lab.fleet.report import ENDS, cost, ends_of, totals
 from applehub.lab.fleet.variants import VARIANTS
@@ -59,14 +59,15 @@
 )
 @click.option("--peers", is_flag=True, help="Routers speak with each other; half of the faults strike that.")
 @click.option("--variant", type=click.Choice(sorted(VARIANTS)), help="A known-bad router.")
+@click.option("--bad", type=click.Choice(sorted(BAD)), help="Releases a version that is worse in this way.")
 @click.option("--shrink", "shrinking", is_flag=True, help="Cuts a plan that breaks a rule to a small one.")
 @click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="Keeps all files of the play.")
 @click.option("--json", "as_json", is_flag=True, help="As JSON.")
 @guarded
 def fleet(
     file: str | None, quick: bool, seed: int | None, routers: int, caches: int, faults: int, seconds: float,
-    rate: float, lists: str, peers: bool, variant: str | None, shrinking: bool, keep: Path | None,
-    as_json: bool,
+    rate: float, lists: str, peers: bool, variant: str | None, bad: str | None, shrinking: bool,
+    keep: Path | None, as_json: bool,
 ) -> None:  # fmt: skip
     """Plays plan FILE (or a shipped one by name): processes of the program, with faults between them.
 
@@ -79,6 +80,8 @@
         plan = find("quick" if quick else file or "")
     if variant:
         plan = plan.model_copy(update={"fleet": plan.fleet.model_copy(update={"variant": variant})})
+    if bad:
+        plan = worse(plan, bad)
     history = asyncio.run(run(plan, keep))
     broken = judge(history, plan)
     if as_json:
@@ -93,6 +96,14 @@
     sys.exit(1 if broken else 0)
 
 
+def worse(plan: Plan, bad: str) -> Plan:
+    """The plan with a version that is worse, which has to be halted and returned. Raises SpecError."""
+    if plan.release is None:
+        raise SpecError(f"{plan.name}: releases nothing; expected a plan with a release")
+    told = {"what": BAD[bad], "bad": bad, "ends": "returned"}
+    return plan.model_copy(update={"release": plan.release.model_copy(update=told)})
+
+
 async def _shrunk(plan: Plan, broken: list[Broken]) -> Plan:
     checks = {one.check for one in broken}
 
--- a/applehub/lab/fleet/history.py
+++ b/applehub/lab/fleet/history.py
@@ -59,9 +59,12 @@
 
 
 def files(folder: Path) -> list[Path]:
-    """The events files of a play: the ground's own, and those in each process's folder. Deeper folders are
-    disks, which routers change under whoever walks through them."""
-    return sorted([*folder.glob("events*.jsonl"), *folder.glob("*/events*.jsonl")])
+    """The events files of a play: the ground's own, those in each process's folder, and a controller's. Other
+    folders are disks, which routers change under whoever walks through them."""
+    found = [
+        path for where in ("", "*/", "controller/state/") for path in folder.glob(f"{where}events*.jsonl")
+    ]
+    return sorted(found)
 
 
 def gather(folder: Path) -> History:
--- a/applehub/lab/fleet/play.py
+++ b/applehub/lab/fleet/play.py
@@ -10,6 +10,7 @@
 from applehub.lab.fleet import faults
 from applehub.lab.fleet.ground import Ground, together
 from applehub.lab.fleet.history import History, gather
+from applehub.lab.fleet.machines import Agents, write_plan
 from applehub.lab.fleet.plan import AnyFault, Plan
 from applehub.lab.fleet.processes import RouterProcess, start_keeper
 from applehub.lab.fleet.triggers import Tail
@@ -78,6 +79,9 @@
     async def _whole(self, striking: list[asyncio.Task[None]]) -> None:
         """Returns once the load has lasted and every fault is over."""
         load = self.plan.load
+        if self.ground.controller is not None:
+            await self.ground.release()
+            striking = [*striking, self.loop.create_task(self.ground.controller.finished())]
         if striking:
             done, late = await asyncio.wait(striking, timeout=load.most_s)
             for task in late:
@@ -160,10 +164,15 @@
         keeper = start_keeper(Path(made))
         try:
             ground = Ground(plan, folder)
+            agents = Agents(ground)
             try:
+                await agents.start()
                 await ground.start()
+                if plan.release is not None:
+                    ground.release_file = write_plan(ground)
                 await Play(ground).play()
             finally:
+                await agents.stop()
                 await ground.stop()
             return gather(folder)
         finally:
--- a/applehub/lab/fleet/processes.py
+++ b/applehub/lab/fleet/processes.py
@@ -24,6 +24,7 @@
 
 PR_SET_PDEATHSIG = 1
 START_WITHIN = 60.0  # s, on the busiest machine
+KILLED_AFTER = 3.7  # s after SIGTERM, as on the platform
 END_WITHIN = 10.0  # s that one of the ground's own has to end by itself
 ROOT = str(Path(__file__).parents[3])
 _libc = ctypes.CDLL(None, use_errno=True)
@@ -55,6 +56,8 @@
 class Process:
     """One process and its incarnations: its name and folder stay, its ports need not."""
 
+    ends_itself: frozenset[int] = frozenset()  # codes with which it ends when it has done its work
+
     def __init__(self, name: str, folder: Path, events: Writer) -> None:
         self.name, self.events = name, events
         self.folder = folder / name
@@ -95,7 +98,7 @@
 
     async def _wait(self, process: asyncio.subprocess.Process, number: int, ended: asyncio.Event) -> None:
         code = await process.wait()
-        planned = self.planned or process is not self.process
+        planned = self.planned or process is not self.process or code in self.ends_itself
         self.events.say(Event.EXITED, of=self.name, number=number, code=code, planned=planned)
         ended.set()
         if not planned:
@@ -214,6 +217,36 @@
         raise LiveError(f"{self.name} is not ready: {said}")
 
 
+class ControllerProcess(Process):
+    """The controller of a release, which ends once that has ended."""
+
+    ends_itself = frozenset((0, 3))
+
+    async def start(self, plan: Path) -> None:
+        """Starts it, with its own folder as it left it."""
+        state = self.folder / "state"
+        await self.spawn(["-m", "applehub.release", "start", str(plan), "--state", str(state)], environment())
+        assert self.process is not None and self.process.stderr is not None
+        reads = asyncio.get_running_loop().create_task(self._read(self.process.stderr))
+        self._waits.add(reads)
+        reads.add_done_callback(self._waits.discard)
+
+    async def _read(self, stderr: asyncio.StreamReader) -> None:
+        with open(self.folder / "stderr.log", "ab") as log:
+            while line := await stderr.readline():
+                log.write(line)
+
+    async def finished(self) -> None:
+        """Returns once it has ended by itself, over whatever ended it before."""
+        while True:
+            ended = self.ended
+            await ended.wait()
+            if self.process is not None and self.process.returncode in self.ends_itself:
+                return
+            while self.ended is ended:  # a fault that ended it starts it again
+                await asyncio.sleep(0.02)
+
+
 class RouterProcess(Process):
     """A router under `run`'s own command line, or with the shim where a plan wants a spoilt one."""
 
@@ -227,12 +260,19 @@
         self.listen = self.console = ""
         self._reads: set[asyncio.Task[None]] = set()
 
+    def write(self, told: Json) -> None:
+        """Writes its configuration."""
+        (self.folder / "config.json").write_bytes(orjson.dumps(told))
+
     async def start(self, told: Json, shim: Json | None, inherited: int | None) -> None:
         """Starts its next incarnation; returns once it tells where it listens. Raises LiveError where it ends
         first."""
-        path = self.folder / "config.json"
-        path.write_bytes(orjson.dumps(told))
-        more = {"BALANCER_CONFIG": str(path), "TMPDIR": str(self.disk), "BALANCER_CONSOLE": "127.0.0.1:0"}
+        self.write(told)
+        more = {
+            "BALANCER_CONFIG": str(self.folder / "config.json"),
+            "TMPDIR": str(self.disk),
+            "BALANCER_CONSOLE": "127.0.0.1:0",
+        }
         if inherited is not None:
             more["BALANCER_INHERITED_FD"] = str(inherited)
         words = ["-m", "applehub"]
@@ -267,6 +307,27 @@
             said = (self.folder / "router.log").read_text()[-800:]
             listening.set_exception(LiveError(f"{self.name} has ended: {said}"))
 
+    def counts(self, lines: list[str]) -> dict[str, float]:
+        """What DUMP tells, as a release's gates have it: sums over all classes."""
+        told = dict(line.partition("=")[::2] for line in lines if "=" in line)
+        sums = dict.fromkeys(("ok", "shed", "errors"), 0)
+        for name, value in told.items():
+            if ".responses." in name:
+                sums[name.rpartition(".")[2]] += int(value)
+        return {
+            "requests": sum(sums.values()), "refused": sums["shed"], "failed": sums["errors"],
+            **{
+                name: int(told.get(f"edge_balancer.{name}", 0))
+                for name in ("config_applied", "config_rejected")
+            },
+        }  # fmt: skip
+
+    def costs(self) -> dict[str, float]:
+        """Processor time, s since its start, and memory, MB. Raises psutil.Error."""
+        assert self._watched is not None
+        times = self._watched.cpu_times()
+        return {"cpu_s": times.user + times.system, "memory_mb": self._watched.memory_info().rss / MB}
+
     async def call(self, words: str) -> str:
         """An operator's call; gives the answer's first line, nothing where there is none."""
         return next(iter(await self.lines(words)), "")
--- a/applehub/lab/fleet/servers.py
+++ b/applehub/lab/fleet/servers.py
@@ -2,6 +2,8 @@
 at a stated rate, refuse what their queue cannot hold, and write down what came in and how it ended."""
 
 import asyncio
+import os
+import signal
 from collections import deque
 from pathlib import Path
 from typing import cast
@@ -31,6 +33,8 @@
         self.part, self.errors = 1.0, 0.0  # of its speed; of the requests that fail
         self.free_at = 0.0  # when all that waits is done
         self.failing = 0.0
+        self.worked, self.before = 0.0, (0.0, self.loop.time())  # s of work taken; and at the last look, when
+        self.counts = dict.fromkeys(("requests", "failed", "refused", "missed"), 0)
 
     def speed(self) -> float:
         """Requests a second, now."""
@@ -42,9 +46,12 @@
 
     def admit(self) -> float | None:
         """When a request that comes now is done, s of the loop's clock; none: it is turned away."""
+        self.counts["requests"] += 1
         if self.waiting() >= self.queue:
+            self.counts["refused"] += 1
             return None
         self.free_at = max(self.free_at, self.loop.time()) + 1 / self.speed()
+        self.worked += 1 / self.speed()
         return self.free_at
 
     def fails(self) -> bool:
@@ -52,6 +59,7 @@
         self.failing += self.errors
         if self.failing >= 1:
             self.failing -= 1
+            self.counts["failed"] += 1
             return True
         return False
 
@@ -61,8 +69,17 @@
                 self.errors = told["part"]
             case "crawl":
                 self.part = told["part"]
+            case "figures":
+                return self.figures()
         return {}
 
+    def figures(self) -> Json:
+        """Counts since the start; what waits; the part of its time that work took since the last look."""
+        worked, looked = self.before
+        self.before = self.worked, self.loop.time()
+        busy = min(1.0, (self.worked - worked) / max(0.001, self.before[1] - looked))
+        return {**self.counts, "waiting": self.waiting(), "work_s": self.worked, "busy": busy}
+
 
 class Cache(Station):
     """A cache server that was started cold: its speed rises evenly from a part to the whole."""
@@ -71,6 +88,9 @@
         super().__init__(told)
         self.told, self.events, self.name = told, events, told["name"]
         self.sources: dict[str, str] = told["sources"]
+        self.bad, part = told.get("bad", ""), told.get("part", 0.0)  # how its version is worse
+        self.errors = part if self.bad == "errors" else 0.0
+        self.part = part if self.bad == "crawls" else 1.0
         self.value = b"v" * told["value"]
         self.kept: dict[bytes, None] = {}
         self.missed: dict[bytes, bytes] = {}  # by request, the key that was lacking
@@ -140,6 +160,8 @@
 
     def _request(self, words: list[bytes]) -> None:
         cache, name = self.cache, words[2].decode()
+        if cache.bad == "mute":
+            os.kill(os.getpid(), signal.SIGSTOP)
         who = {"request": name, "router": self.router, "server": cache.name}
         cache.events.say(Event.ATTEMPT, **who, cls=class_of(words[3]))
         cache.count()
@@ -157,11 +179,12 @@
         elif cache.fails():
             cache.events.say(Event.ENDED, **who, how="failed")
             self._answer(b"-ERR failed " + cache.report() + b"\r\n")
-        elif words[0] == b"C.GET" and key in cache.kept:
+        elif words[0] == b"C.GET" and key in cache.kept and cache.bad != "forgets":
             cache.events.say(Event.ENDED, **who, how="hit")
             self._answer(b"*3\r\n" + bulk(cache.value) + bulk(b"hit") + bulk(cache.report()))
         else:
             cache.missed[words[2]] = key
+            cache.counts["missed"] += 1
             if len(cache.missed) > 10_000:
                 del cache.missed[next(iter(cache.missed))]
             cache.events.say(Event.ENDED, **who, how="miss")
