--- a/applehub/events.py
+++ b/applehub/events.py
@@ -48,7 +48,13 @@
     AGREED = "agreed"  # routers: each of so many that run knows of just those
     RELEASE = "release"  # mode, why: how a release stands from now on
     ORDERED = "ordered"  # unit, number, step, version: an order to an agent
-    STEPPED = "stepped"  # unit, number, good: what came of it
+    STEPPED = "stepped"  # unit, number, good, why: what came of it
+    TURNED_DOWN = "turned_down"  # unit, number, why: an agent does not take an order
+    CONDEMNED = "condemned"  # why: a gate finds the new version bad
+    UNWELL = "unwell"  # why: nothing begins meanwhile; none: the fleet is well again
+    WISHED = "wished"  # what: staff want it of a release under way
+    LOCK = "lock"  # held, fence: whether this controller may give orders
+    MOVED = "moved"  # unit, step, version, number, why: a machine carried a step out, or failed to
     CALL = "call"  # router, words, answer: an operator's call
 
 
@@ -118,9 +124,15 @@
     return record
 
 
+def whole_lines(path: Path, since: int = 0) -> list[bytes]:
+    """The lines of a file from a byte on that are whole by now, each with its end. It is read at once: who
+    reads line by line beside the writer gets the first part of a line, and then the rest as another."""
+    with open(path, "rb") as file:
+        file.seek(since)
+        content = file.read()
+    return content[: content.rfind(b"\n") + 1].splitlines(keepends=True)
+
+
 def read(path: Path) -> Iterator[Record]:
     """All events of a file, in order. A last line that was cut off with its process is left out."""
-    with open(path, "rb") as file:
-        for line in file:
-            if line.endswith(b"\n"):
-                yield parse(line)
+    return map(parse, whole_lines(path))
