Keep what a router has learnt of its servers, for the process that comes after it

Need: a start learns each server's answer times anew. Change: event Learnt and Balancer.learnt, answer times, least of them, attempts out and share by server; fades over 10 minutes, and not at all for a server started since. Saved every 5 s and at the end where state_dir is configured, by the layer that keeps the list (now Saver, for both). A clock set back: not used. Lab: routers.keeps_s.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -34,6 +34,7 @@
 )
 
 if TYPE_CHECKING:
+    from applehub.node.keptlearnt import KeptLearnt
     from applehub.node.keptlist import KeptList
     from applehub.node.peering import Peering, PeersTold
 
@@ -196,7 +197,7 @@
             raise ConfigurationError(f"can't write in $TMPDIR: {problem}") from None
         self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
         self.peering = self._peering()
-        self.kept = self._kept()
+        self.kept = self._kept(balancer)
         self._budget(1)
         self.figures.gauges |= {
             "tries": lambda: self.pools.written,
@@ -220,16 +221,17 @@
         self.driver.say = peering.say
         return peering
 
-    def _kept(self) -> "KeptList | None":
+    def _kept(self, balancer: Balancer) -> "tuple[KeptList, KeptLearnt] | None":
         if self.told.state_dir is None:
             return None
+        from applehub.node.keptlearnt import KeptLearnt
         from applehub.node.keptlist import KeptList
 
         try:
-            kept = KeptList(self.told.state_dir)
+            kept = KeptList(self.told.state_dir), KeptLearnt(self.told.state_dir, balancer.learnt)
         except OSError as problem:
             raise ConfigurationError(f"state_dir: {problem}") from None
-        self.directory.took = kept.take
+        self.directory.took = kept[0].take
         return kept
 
     def _calls(self) -> dict[str, Handler]:
@@ -304,9 +306,16 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
-            self.directory.take(told.known if self.kept is None else self.kept.load(told.known), cached=True)
+            known = told.known if self.kept is None else self.kept[0].load(told.known)
+            self.directory.take(known, cached=True)
         except ListError as problem:
             log.warning("the known list is of no use: %s", problem)
+        if self.kept is not None:
+            learnt = self.kept[1].load()
+            if learnt is not None:
+                log.info("taking up what was learnt of %d servers", len(learnt.servers))
+                self.driver.tell(learnt)
+            self.kept[1].start()
         self._look_around()
         try:
             host, port = await self.clients.listen(*told.listen, told.inherited)
@@ -336,8 +345,8 @@
             self.peering.stop()
         await self.clients.emptied(killed - GONE_BY - loop.time())
         self.watch.stop()
-        if self.kept is not None:
-            self.kept.close()
+        for kept in self.kept or ():
+            kept.close()
         self.console.close()
 
 
--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -224,6 +224,24 @@
     accused: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Seen:
+    """What a router has seen of one server."""
+
+    latency: float  # moving average of answer times, ns
+    base: float  # the least of it, when uncrowded, ns
+    held: float  # moving average of the attempts it had out meanwhile
+    share: float  # the part of its range that it bears
+
+
+@dataclass(slots=True)
+class Learnt:
+    """What a process of this router that ran before had seen of servers, and for how long that has lain."""
+
+    age: int
+    servers: dict[str, Seen]
+
+
 Event = (
     Members
     | ByHand
@@ -237,6 +255,7 @@
     | Probed
     | PeerMessage
     | Fleet
+    | Learnt
 )
 
 
--- a/applehub/lab/fleet/shim.py
+++ b/applehub/lab/fleet/shim.py
@@ -11,6 +11,7 @@
 import runpy
 import shutil
 import sys
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -26,6 +27,7 @@
             os.path.realpath(told[name]) for name in ("disk", "durable", "control")
         )
         self.synced: dict[int, bytes] = {}  # by inode
+        self.alone = threading.Lock()
         self.open, self.fsync, self.time_ns = builtins.open, os.fsync, time.time_ns
 
     def said(self, name: str) -> list[str]:
@@ -68,7 +70,8 @@
         if said and said[0] == "slow_disk":
             time.sleep(float(said[1]) / 1000)
         if path == self.disk:
-            self._keep_names()
+            with self.alone:  # two of the router's threads may sync at once
+                self._keep_names()
         elif self._ours(path):
             with self.open(path, "rb") as kept:
                 self.synced[os.fstat(number).st_ino] = kept.read()
--- a/applehub/lab/routers.py
+++ b/applehub/lab/routers.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from applehub import interface as api
 from applehub.lab import spec
@@ -15,6 +15,7 @@
 from applehub.lab.rules import Rules
 from applehub.lab.servers import CacheServer
 from applehub.lab.tries import Asked, Attempt, Place
+from applehub.policy import Balancer
 from applehub.wirehost import Decider
 
 STORES = 2  # servers that missed for a request and keep what the origin answered
@@ -61,6 +62,8 @@
         self.request_cost, self.attempt_cost = int(costs.request_us * 1000), int(costs.attempt_us * 1000)
         self.alarm_cost, self.member_cost = int(costs.alarm_us * 1000), int(costs.member_us * 1000)
         self.idle_most = int(costs.idle_s * SECOND)
+        self.keeps = int(costs.keeps_s * SECOND)
+        self.kept: tuple[int, api.Learnt] | None = None  # when, and what it had learnt
         self.decider: Decider
 
     # Life
@@ -74,9 +77,19 @@
         self.max_attempts = self.around.spec.max_attempts
         self.decider = make(self.life)
         self._members(api.Members(api.ListKind.CACHED, list(self.known.values())), self.version)
+        if self.kept is not None:
+            at, learnt = self.kept
+            self.deliver(replace(learnt, age=self.clock.now - at), self.member_cost * len(learnt.servers))
+        if self.keeps and isinstance(self.decider, Balancer):
+            self.clock.after(self.keeps, self._keep, self.life)
         if self.around.peering is not None:
             self.around.peering.start(self)
 
+    def _keep(self, life: int) -> None:
+        if self.life == life and isinstance(self.decider, Balancer):
+            self.kept = self.clock.now, self.decider.learnt()
+            self.clock.after(self.keeps, self._keep, life)
+
     def stop(self) -> None:
         """The process ends at once: clients see their connections break."""
         self.up = self.taking = False
--- a/applehub/lab/spec.py
+++ b/applehub/lab/spec.py
@@ -170,6 +170,9 @@
     max_attempts: Annotated[int, Field(ge=1, le=16)] = 4
     idle_s: Positive = 5
     retry_after_ms: NotNegative = 0  # 0: clients are told nothing
+    keeps_s: NotNegative = (
+        0  # between two times that it keeps what it has learnt, over its restarts; 0: never
+    )
 
 
 class Peers(Part):
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -115,7 +115,9 @@
                 carrier.give_up()
             self._ended(held.attempt, Ending(api.Status.CANCELLED))
 
-    def tell(self, event: api.Members | api.ByHand | api.Retuned | api.Copies | api.Fleet) -> None:
+    def tell(
+        self, event: api.Members | api.ByHand | api.Retuned | api.Copies | api.Fleet | api.Learnt
+    ) -> None:
         """Passes on news that concerns no single request."""
         self._tell(event)
 
--- a/applehub/node/keptlist.py
+++ b/applehub/node/keptlist.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import logging
-import threading
 
 import orjson
 
-from applehub.durable.folder import Folder
-from applehub.durable.store import Store, StoreError
+from applehub.node.saver import Saver
 from applehub.settings import Json
 
 FORM = 1  # the value is JSON as discovery words it: rev, and targets with every key as it came
@@ -20,12 +18,11 @@
 
     def __init__(self, folder: str) -> None:
         """Raises OSError where the folder can't be made."""
-        self.store = Store(Folder(folder), "list", FORM)
+        self.saver = Saver(folder, "list", FORM, "the list")
         self.rev = 0
         self.targets: dict[str, Json] = {}
-        self.saved, self.complained = True, False
+        self.saved = True
         self.saving: asyncio.Task[None] | None = None
-        self.alone = threading.Lock()  # the last save may come while one is still under way in its thread
 
     def load(self, known: Json) -> Json:
         """The list to start from: the one that was kept, if it is newer than what the platform hands over.
@@ -38,18 +35,16 @@
         return start
 
     def _newer(self, rev: int) -> list[Json] | None:
+        value = self.saver.load()
+        if value is None:
+            return None
         try:
-            loaded = self.store.load()
-            for why in loaded.passed_over:
-                log.warning("a kept list is passed over: %s", why)
-            if loaded.value is None:
-                return None
-            kept: Json = orjson.loads(loaded.value)
+            kept: Json = orjson.loads(value)
             if kept["rev"] <= rev:
                 return None
             targets: list[Json] = list(kept["targets"])
-        except (OSError, ValueError, KeyError, TypeError) as problem:
-            log.warning("a kept list is passed over: %s: %s", type(problem).__name__, problem)
+        except (ValueError, KeyError, TypeError) as problem:
+            log.warning("the list is passed over: %s: %s", type(problem).__name__, problem)
             return None
         log.info("starting from the list that was kept, version %d", kept["rev"])
         return targets
@@ -77,31 +72,17 @@
         while not self.saved:
             value = self._value()
             self.saved = True
-            # In a thread: a sync may take longer than a request waits.
-            await asyncio.get_running_loop().run_in_executor(None, self._save, value)
+            if not await self.saver.save_aside(value):
+                self.saved = False
             await asyncio.sleep(PAUSE)
 
     def _value(self) -> bytes:
         return orjson.dumps({"rev": self.rev, "targets": list(self.targets.values())})
 
-    def _save(self, value: bytes) -> None:
-        try:
-            with self.alone:
-                if not self.store.held:
-                    self.store.open()
-                self.store.save(value)
-            self.complained = False
-        except (OSError, StoreError) as problem:
-            # Said once: as a rule the old process of an upgrade holds it, until that ends.
-            if not self.complained:
-                log.warning("the list can't be kept: %s", problem)
-            self.complained, self.saved = True, False
-
     def close(self) -> None:
         """The last save, and lets go."""
         if self.saving is not None:
             self.saving.cancel()
         if not self.saved:
-            self._save(self._value())
-        with self.alone:
-            self.store.close()
+            self.saver.save(self._value())
+        self.saver.close()
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -25,6 +25,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.turn = turn = Turn(settings, seed)
         self.roster = Roster(turn)
+        self.learnt = self.roster.learnt
         self.placement = Placement(turn, self.roster)
         self.tenants = Tenants(turn)
         self.jobs: dict[str, Job] = {}
@@ -42,6 +43,7 @@
             api.ByHand: self.roster.on_by_hand,
             api.Retuned: self._on_retuned,
             api.Copies: self.roster.on_copies,
+            api.Learnt: self.roster.on_learnt,
             api.Withdrawn: self._on_withdrawn,
             api.Fleet: self.hearsay.on_fleet,
         }
--- a/applehub/policy/hearsay.py
+++ b/applehub/policy/hearsay.py
@@ -3,7 +3,6 @@
 from applehub import interface as api
 from applehub.policy.rates import SECOND
 from applehub.policy.roster import Roster
-from applehub.policy.servers import Kind
 from applehub.policy.throttle import Monitor
 from applehub.policy.turn import Turn
 
@@ -28,7 +27,7 @@
         """Guards against routers that disagree on who bears a key's range: their shares draw together. One
         that starts takes over the fleet's."""
         for number, share in event.shares.items():
-            kind = self.roster.kinds.setdefault(number, Kind())
+            kind = self.roster.kinds[number]
             kind.share += (share - kind.share) * (PULL if self.heard else 1)
         self.heard = self.heard or bool(event.shares)
         self.roster.routers = event.routers
--- a/applehub/policy/roster.py
+++ b/applehub/policy/roster.py
@@ -1,5 +1,6 @@
 """The servers of the current list, with what their answers have told."""
 
+from collections import defaultdict
 from dataclasses import replace
 
 from applehub import interface as api
@@ -11,6 +12,7 @@
 
 ANSWERS = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
 LIST_PAUSE = 2 * SECOND  # the longest from a failed call to discovery until the next
+FADES = 600 * SECOND  # from then on what an earlier process had seen counts for nothing
 BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 
 
@@ -26,7 +28,7 @@
         self.routers = 0  # processes of all routers that were heard to be there
         self.origin: Server | None = None
         self.ranges = KeyRanges(turn.settings.ramp_time)
-        self.kinds: dict[int, Kind] = {}
+        self.kinds: defaultdict[int, Kind] = defaultdict(Kind)
         self.flow = Rate(4 * turn.shortest_aim)  # of requests
         self.crowded = 0.0  # part of the latest new connects that were refused at once
 
@@ -139,10 +141,7 @@
         return routers * self.kind(server).uncrowded
 
     def kind(self, server: Server) -> Kind:
-        kind = self.kinds.get(server.member.kind)
-        if kind is None:
-            kind = self.kinds[server.member.kind] = Kind()
-        return kind
+        return self.kinds[server.member.kind]
 
     def _failed_part(self, event: api.Outcome) -> float:
         """The part of a server's answers that are errors, by this one, or by its report beside its equal part
@@ -168,6 +167,21 @@
             wait = max(wait, self.pace(server) / max(self.turn.settings.cold_from, SMOOTHING / 2))
         return wait
 
+    def learnt(self) -> api.Learnt:
+        """What is worth telling to a process of this router that comes after."""
+        known = ((name, one) for name, one in self.servers.items() if one.base)
+        return api.Learnt(0, {n: api.Seen(one.latency, one.base, one.held, one.share) for n, one in known})
+
+    def on_learnt(self, event: api.Learnt) -> None:
+        """Guards a start against sending to each server what only its like bear. It counts for less the
+        longer it has lain, and not at all for a server that was started since."""
+        part, since = 1 - event.age / FADES, self.turn.now - event.age
+        for name, seen in event.servers.items():
+            server = self.servers.get(name)
+            if server is not None and not server.base and part > 0 and server.cold_since <= max(0, since):
+                server.latency, server.base, server.held = seen.latency, seen.base, seen.held
+                server.share = 1 + (seen.share - 1) * part
+
     def put_out(self, name: str, own: int) -> bool:
         """Leaves a server alone that fails others, as if it had failed here; whether it does. An answer that
         came within own is better evidence. Each router tries it again at a moment of its own."""
@@ -186,9 +200,8 @@
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, now
         if status in ANSWERS:
-            server.errors += (self._failed_part(event) - server.errors) * weight_of(
-                now - server.answered_at, 2 * turn.shortest_aim
-            )
+            weight = weight_of(now - server.answered_at, 2 * turn.shortest_aim)
+            server.errors += (self._failed_part(event) - server.errors) * weight
             server.answered_at = now
         refused = status is api.Status.CONNECT_FAILED
         failing = status is api.Status.ERROR and self._fails_most(server)
@@ -212,8 +225,7 @@
         elif server.fails and answered:
             turn.log(f"server {event.server} answers again")
             away = server.refusals > 1 and now - server.down_since > SECOND
-            server.fails = server.refusals = 0
-            server.hearsay = False
+            server.fails, server.refusals, server.hearsay = 0, 0, False
             if away and self.crowded <= 1 / 2:
                 self._chill(server, now)  # a process that died comes back cold, before the list tells
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
--- a/applehub/policy/throttle.py
+++ b/applehub/policy/throttle.py
@@ -16,8 +16,6 @@
 class Throttle:
     """Berger's bank and buffer as one signed level: tokens above 0, waiting jobs below."""
 
-    __slots__ = ("bank", "buffer", "last", "level", "queue", "rate")
-
     def __init__(self, now: int, rate: float, total: int) -> None:
         self.rate, self.last = rate, now
         self.bank = self.level = FEW_TOKENS
--- a/applehub/policy/turn.py
+++ b/applehub/policy/turn.py
@@ -13,8 +13,6 @@
 class Turn:
     """An event's time and the actions that answer it; settings, random source, what is to be done later."""
 
-    __slots__ = ("actions", "agenda", "entries", "now", "random", "settings", "shortest_aim", "wake_at")
-
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.random = random.Random(seed)
         self.now = self.entries = self.wake_at = 0
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -3,13 +3,16 @@
 import asyncio
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
+from applehub import interface as api
 from applehub.durable.folder import Folder
 from applehub.durable.store import HEAD, Loaded, Store, StoreError, framed
 from applehub.lab.powerloss import RecordedDisk, search
+from applehub.node.keptlearnt import KeptLearnt
 from applehub.node.keptlist import KeptList
 
 VALUES = [b"first", b"a" * 1500, b"b" * 700, b"", b"c" * 1100, bytes(range(256)) * 8]
@@ -155,11 +158,35 @@
     kept = KeptList(str(tmp_path))
     kept.load({"rev": 1, "targets": []})
     kept.take({"rev": 2, "targets": [{"uid": "c0", "state": "Ready"}]}, False)
-    while not kept.complained:
+    while not kept.saver.complained:
         await asyncio.sleep(0.01)
     assert other.load().value is None
     other.close()
-    while kept.complained:
+    while kept.saver.complained:
         await asyncio.sleep(0.01)
     assert b"c0" in (other.load().value or b"")
     kept.close()
+
+
+async def test_what_was_learnt_is_taken_up_unless_its_age_is_unknown(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    seen = {"c0": api.Seen(2e6, 1e6, 1.5, 0.25)}
+    kept = KeptLearnt(str(tmp_path), lambda: api.Learnt(0, seen))
+    assert kept.load() is None
+    kept.close()
+    now = time.time_ns()
+    monkeypatch.setattr(time, "time_ns", lambda: now + 7_000_000_000)
+    found = KeptLearnt(str(tmp_path), kept.learnt).load()
+    assert found is not None and found.servers == seen and 7_000 <= found.age // 1_000_000 < 8_000
+    monkeypatch.setattr(time, "time_ns", lambda: now - 7_000_000_000)  # the clock was set back
+    assert KeptLearnt(str(tmp_path), kept.learnt).load() is None
+    store = Store(Folder(str(tmp_path)), "learnt", 1)
+    store.open()
+    for value in (
+        b"[]",
+        b'{"wall_ms": 1, "servers": {"c0": ["x"]}}',
+        b'{"wall_ms": 1, "servers": {"c0": [1]}}',
+    ):
+        store.save(value)
+        assert KeptLearnt(str(tmp_path), kept.learnt).load() is None
