Let a server's first answer count whole where it is slower than the guess before it

Need: a router that has just started takes each server for one that answers within an eighth of the shortest aim, and unlearns that by an eighth to a half with each answer. Change: a first answer that is slower than the guess, and no 'full', replaces it. One test's clock moves on between its requests now, so that servers that were slow once get their trials.

--- a/applehub/policy/hearsay.py
+++ b/applehub/policy/hearsay.py
@@ -48,8 +48,7 @@
             if not server.hearsay and (server.fails or server.silences >= SILENCES)
         }
         asked = ((name, servers[name]) for name in self.accused if name in servers)
-        since = self.turn.now - OWN
-        vouched = [name for name, server in asked if not server.fails and server.answered_at > since]
+        vouched = [name for name, one in asked if not one.fails and one.answered_at > self.turn.now - OWN]
         shares = {number: kind.share for number, kind in self.roster.kinds.items()}
         rate = throttle.rate if throttle is not None else 0.0
         return api.Tell(rate, self.monitor.recent(self.turn.now), shares, failing, vouched)
--- a/applehub/policy/roster.py
+++ b/applehub/policy/roster.py
@@ -169,7 +169,7 @@
 
     def learnt(self) -> api.Learnt:
         """What is worth telling to a process of this router that comes after."""
-        known = ((name, one) for name, one in self.servers.items() if one.base)
+        known = [(name, one) for name, one in self.servers.items() if one.base]
         return api.Learnt(0, {n: api.Seen(one.latency, one.base, one.held, one.share) for n, one in known})
 
     def on_learnt(self, event: api.Learnt) -> None:
@@ -232,7 +232,7 @@
         full, missed = status is api.Status.FULL, status is api.Status.MISS
         elapsed = turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
         if full or status in (api.Status.OK, api.Status.TIMEOUT) or (missed and server.trial):
-            server.learn(now, 2 * turn.shortest_aim, elapsed, server.out + 1)
+            server.learn(now, 2 * turn.shortest_aim, elapsed, server.out + 1, full)
             self.kind(server).learned(server, self.servers.values())
         if full or missed or status in (api.Status.OK, api.Status.TIMEOUT):
             # Guards against a router that sees little of a server: who waits there tells what others send.
--- a/applehub/policy/servers.py
+++ b/applehub/policy/servers.py
@@ -89,8 +89,10 @@
         self.trial = True
         return True
 
-    def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
-        weight = 1 / 2 if self.trial else weight_of(now - self.learned_at, span)
+    def learn(self, now: int, span: int, elapsed: int, out: int, full: bool = False) -> None:
+        # Guards a start: a first answer that is slower than the guess that stood there counts whole.
+        guessed = not self.base and elapsed > self.latency and not full
+        weight = 1 if guessed else 1 / 2 if self.trial else weight_of(now - self.learned_at, span)
         self.learned_at = now
         self.latency += (elapsed - self.latency) * weight
         self.held += (out - self.held) * SMOOTHING
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -357,6 +357,7 @@
         return (S.TIMEOUT, SECOND) if balancer.roster.servers[server].member.kind else (S.OK, 10 * MILLI)
 
     for n in range(40):
+        router.now += SECOND  # so that who was slow once gets its next trial
         first_send(router, f"k{n}", ending)
     weak, strong = balancer.roster.kinds[1], balancer.roster.kinds[0]
     assert (strong.share, weak.share < 0.5) == (1.0, True)
@@ -684,7 +685,7 @@
 
 def test_a_trial_that_is_out_stays_one() -> None:
     """Guards against a long memory of a jam: its answer counts half, whoever asked meanwhile."""
-    tested = Server(api.Member("c"), 4.0 * SECOND)
+    tested = Server(api.Member("c"), 4.0 * SECOND, base=1.0 * SECOND)
     assert tested.calm(START, SECOND, 4, 0) and tested.trial
     tested.out, tested.sent_at = 1, START
     assert not tested.calm(START, SECOND, 4, 0)
@@ -694,10 +695,12 @@
 
 def test_an_answer_after_a_long_silence_counts_more() -> None:
     """Guards against a fleet so wide that this router sees a server seldom."""
-    often, seldom = (Server(api.Member("c"), 1.0 * SECOND, learned_at=START) for _ in range(2))
+    often, seldom, new = (Server(api.Member("c"), 1.0 * SECOND, base, START) for base in (1e9, 1e9, 0.0))
     often.learn(START + MILLI, 2 * SECOND, 0, 1)
     seldom.learn(START + 5 * SECOND, 2 * SECOND, 0, 1)
     assert (often.latency, seldom.latency) == (SECOND * 7 / 8, SECOND / 2)
+    new.learn(START + MILLI, 2 * SECOND, 3 * SECOND, 1)
+    assert new.latency == 3 * SECOND, "a first answer that is slower than the guess counts whole"
 
 
 def test_a_trial_that_misses_shows_recovery() -> None:
