Start one controller of a release at a time on the ground, however faults overlap

Cause: with kills of the controller 0.1 s apart, two faults each started what both had ended; the second process was refused ('release: another process holds it', code 2, as it should be), and that end broke the play. Change: a start waits for the one under way, and finds it running.

--- a/applehub/lab/fleet/ground.py
+++ b/applehub/lab/fleet/ground.py
@@ -96,6 +96,7 @@
         self.listed: Json = {}  # the list service's state, as it last told
         self.controller = ControllerProcess("controller", folder, self.events) if plan.release else None
         self.release_file: Path | None = None  # the controller's
+        self.releasing = asyncio.Lock()
         self.agents: dict[str, str] = {}  # by zone, where its agent listens
         self.versions: dict[str, str] = {}  # by unit of a release, what runs there
         self.bad: dict[str, int] = {}  # by unit on which a bad version runs, the fault that this is
@@ -385,9 +386,11 @@
         router.write(self.told(router))
 
     async def release(self) -> None:
-        """Starts the controller, for the first time or again."""
+        """Starts the controller, for the first time or again, unless it runs."""
         assert self.controller is not None and self.release_file is not None
-        await self.controller.start(self.release_file)
+        async with self.releasing:  # faults that overlap each start what they ended
+            if not self.controller.running:
+                await self.controller.start(self.release_file)
 
     def undone(self, fault: int, router: Process) -> None:
         """A router that a fault (-1: the play's begin, or a new start) calls for does not come up."""
