Keep for how long a release has watched the old version, and its evidence each second

Cause: a controller that was killed every two seconds never began (a play with 25 drawn kills, before_s = 5): each start watched anew, and nothing was kept of it until the time was over. Change: the seconds of looking stand in the record with the evidence, kept every second (every five before).

--- a/applehub/release/controller.py
+++ b/applehub/release/controller.py
@@ -23,7 +23,7 @@
 CALL = aiohttp.ClientTimeout(total=2.0)
 LEASE = 8.0  # s of the lock
 LOCK = "release"  # one for the fleet: two releases at once are two causes for one effect
-KEEP = 5.0  # s between two times that evidence is kept: a crash loses no more of it
+KEEP = 1.0  # s between two times that evidence is kept: a crash loses no more of it
 FAILED = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 log = logging.getLogger("applehub.release")
 
@@ -166,7 +166,7 @@
             self.metrics.odds.labels(name).set(one.odds)
 
     def _keep(self, now: float) -> None:
-        if now - self.evidence_kept >= KEEP and self.gate.learnt(now):
+        if now - self.evidence_kept >= KEEP:
             self.evidence_kept, self.record.evidence = now, self.gate.plain()
         self.kept.keep()
 
--- a/applehub/release/gates.py
+++ b/applehub/release/gates.py
@@ -51,27 +51,28 @@
         self.seen: dict[str, _Seen] = {}
         self.lately: list[Count] = []  # the old version's, by look
         self.dear: dict[str, float] = {}  # since when a cost of the new version is too high
-        self.watched = 0.0  # since when all units are watched
+        self.looked: float | None = None
         kept = record.evidence
+        self.watched_s: float = kept.get("watched_s", 0.0)  # in looks of this controller and those before
         self.evidence = {
             name: Evidence(gates.least, gates.alpha / len(FAILURES), **kept.get(name, {}))
             for name in FAILURES
         }
 
-    def learnt(self, now: float) -> bool:
-        """Whether there is evidence to keep: the old version was watched for long enough."""
-        return bool(self.record.evidence) or now - self.watched >= self.gates.before_s
-
     def plain(self) -> dict[str, Any]:
         """The evidence, for the record: a controller that was killed goes on with it."""
-        return {
+        told: dict[str, Any] = {
             name: {"logs": list(one.logs), "chi": one.chi, "freedom": one.freedom, "known": dict(one.known)}
             for name, one in self.evidence.items()
         }
+        return {**told, "watched_s": self.watched_s}
 
     def look(self, now: float, told: Mapping[str, Figures | None]) -> Verdict:
         """told: by unit what its agent told; none where there was no answer."""
-        record, self.watched = self.record, self.watched or now
+        record = self.record
+        if self.looked is not None:
+            self.watched_s += min(now - self.looked, 2 * self.gates.look_s)  # not while it stood still
+        self.looked = now
         deltas: dict[str, dict[str, float]] = {}
         for name, unit in record.units.items():
             seen = self.seen.setdefault(name, _Seen(now))
@@ -101,9 +102,7 @@
             )
             or self._dear(now, [n for n in new if n in deltas], [n for n in old if n in deltas], deltas)
         )
-        return Verdict(
-            halt, self._unwell(now, old, deltas) or self._too_soon(now, new), self._spare(new + old)
-        )
+        return Verdict(halt, self._unwell(now, old, deltas) or self._too_soon(new), self._spare(new + old))
 
     def _silent(self, now: float, new: list[str], old: list[str]) -> str:
         """Guards against a version that can't say how it fares. Where the old units are silent too, it is not
@@ -118,10 +117,9 @@
                 return f"{name}: does not tell {', '.join(missing)}"
         return ""
 
-    def _too_soon(self, now: float, new: list[str]) -> str:
-        """Guards against units that are unlike: how each fails with the old version is learnt first. A
-        controller that goes on with a release has learnt it."""
-        if new or self.learnt(now):
+    def _too_soon(self, new: list[str]) -> str:
+        """Guards against units that are unlike: how each fails with the old version is learnt first."""
+        if new or self.watched_s >= self.gates.before_s:
             return ""
         return f"the old version is watched for {self.gates.before_s:g} s first"
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -203,6 +203,17 @@
     assert not again.halt
 
 
+def test_a_controller_that_was_killed_goes_on_watching_where_it_was(plan: Path) -> None:
+    record = record_of(load_plan(plan))
+    unwell = []
+    for life in range(3):  # each of two looks, a second apart, and killed
+        one = Gate(Gates(before_s=2.0), record)
+        for look in (1, 2):
+            unwell.append(one.look(10.0 * life + look, {name: told(look) for name in record.units}).unwell)
+        record.evidence = json.loads(json.dumps(one.plain()))
+    assert [bool(why) for why in unwell] == [True, True, True, False, False, False]
+
+
 def test_no_room_holds_a_release_up_and_a_way_back_but_little(plan: Path) -> None:
     release = Release(record_of(load_plan(plan)))
     assert release.tick(0.0, True, 0) == [] and release.tick(0.0, False, 5) == []
