--- a/applehub/policy/hearsay.py
+++ b/applehub/policy/hearsay.py
@@ -3,7 +3,6 @@
 from applehub import interface as api
 from applehub.policy.rates import SECOND
 from applehub.policy.roster import Roster
-from applehub.policy.servers import Kind
 from applehub.policy.throttle import Monitor
 from applehub.policy.turn import Turn
 
@@ -28,7 +27,7 @@
         """Guards against routers that disagree on who bears a key's range: their shares draw together. One
         that starts takes over the fleet's."""
         for number, share in event.shares.items():
-            kind = self.roster.kinds.setdefault(number, Kind())
+            kind = self.roster.kinds[number]
             kind.share += (share - kind.share) * (PULL if self.heard else 1)
         self.heard = self.heard or bool(event.shares)
         self.roster.routers = event.routers
@@ -49,8 +48,7 @@
             if not server.hearsay and (server.fails or server.silences >= SILENCES)
         }
         asked = ((name, servers[name]) for name in self.accused if name in servers)
-        since = self.turn.now - OWN
-        vouched = [name for name, server in asked if not server.fails and server.answered_at > since]
+        vouched = [name for name, one in asked if not one.fails and one.answered_at > self.turn.now - OWN]
         shares = {number: kind.share for number, kind in self.roster.kinds.items()}
         rate = throttle.rate if throttle is not None else 0.0
         return api.Tell(rate, self.monitor.recent(self.turn.now), shares, failing, vouched)
