Name a release's units and their zones on the ground in one place

Need: the controller's file and the agents each worked out which units a release has, in two ways. Change: zones_of serves both, by the ground's own rule for zones; no behaviour changed.

--- a/applehub/lab/fleet/machines.py
+++ b/applehub/lab/fleet/machines.py
@@ -23,6 +23,14 @@
 RELOADED_WITHIN = 10.0  # s
 
 
+def zones_of(ground: Ground) -> dict[str, str]:
+    """The units of the plan's release, and the zone of each."""
+    release = ground.plan.release
+    assert release is not None
+    units = ground.caches if release.what == "servers" else ground.routers
+    return {one.name: ground.zone(number) for number, one in enumerate(units)}
+
+
 def write_plan(ground: Ground) -> Path:
     """The controller's file: the fleet's units, and by whom each is reached."""
     plan, release = ground.plan, ground.plan.release
@@ -40,13 +48,8 @@
             return str(one).lower()
         return f'"{one}"' if isinstance(one, str) else str(one)
 
-    kind, count = (
-        ("cache", plan.fleet.caches) if release.what == "servers" else ("router", plan.fleet.routers)
-    )
-    zones = [f"zone-{number % plan.fleet.zones}" for number in range(count)]
     units = [
-        table({"name": f"{kind}-{number}", "zone": zone, "agent": agents[zone]})
-        for number, zone in enumerate(zones)
+        table({"name": name, "zone": zone, "agent": agents[zone]}) for name, zone in zones_of(ground).items()
     ]
     lines = [
         f'name = "{plan.name}"', f'what = "{release.what}"', f'old = "{OLD}"', f'new = "{NEW}"',
@@ -65,10 +68,7 @@
 
     def __init__(self, ground: Ground, zone: str, release: Released) -> None:
         self.ground, self.release = ground, release
-        kind = "cache-" if release.what == "servers" else "router-"
-        of = ground.caches if release.what == "servers" else ground.routers
-        self.units = [one.name for number, one in enumerate(of) if ground.zone(number) == zone]
-        assert all(name.startswith(kind) for name in self.units)
+        self.units = [name for name, of in zones_of(ground).items() if of == zone]
         self.asking: dict[str, asyncio.Task[dict[str, float] | None]] = {}
 
     async def carry(self, order: Order) -> str:
