Fit all waits of a watch into the 6 s after which a change counts as told

Need: whatever became of a call, what discovery has counts as told 6 s later. Read in the code: a watch was held for 5 s and given 2 s more, so a silent one was noticed after 7 s, and a silent call after it cost up to 7 s again; where lists are asked for, a pause of up to 2 s came on top.

Change: a watch is held for 2.5 s and is silent 0.7 s later; then, and after every other failed call, what is missing is asked for without waiting, 1.3 s at the most for connection and answer, at all addresses together. A silent watch is followed by such a call at once. The decisions' pause after a failed call begins at 0.4 s and grows to 1.5 s (2 s before), so two calls that go wrong after a silent watch still leave time.

The test that forty routers ask apart now holds them to each of six pauses in place of one, by quarters of each.

--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any, cast
 
 import orjson
@@ -17,9 +18,12 @@
 from applehub.node.pool import Endpoint, Pools
 from applehub.settings import Json, Names
 
-HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
-PATIENCE = 2.0  # s for an answer that need not wait
-DIAL = 0.5  # s for a connection, where there is another address to turn to
+# What discovery has counts as told 6 s later, however a call fared. All waits in a row stay within that: a
+# watch that falls silent (HOLD + LATE), then two calls that need not wait (ANSWER each), a pause between.
+HOLD = 2.5  # s that a watch may be held
+LATE = 0.7  # s past its hold after which a watch has fallen silent
+ANSWER = 1.3  # s for a connection and an answer that need not wait, at all addresses together
+DIAL = 0.5  # s of that for each address at the least, where there are several
 FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
 MOST_LIST = 8 << 20
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
@@ -202,9 +206,19 @@
             self.transport = None
 
 
+class Phase(StrEnum):
+    """What the next call to discovery is for."""
+
+    WATCH = "watch"  # nothing is known to be missing: the call waits for news
+    CATCH_UP = "catch up"  # a call failed: what was missed is asked for without waiting
+
+
 class Watch:
     """Asks discovery for the list and then for what changes, one call right after the other.
 
+    A watch that is silent past its hold is asked anew at once, since what it missed counts as told soon;
+    after any other failure a pause keeps all routers from calling at the same moment.
+
     Where discovery has several addresses, each router begins at one that its seed draws, so that they spread,
     and turns to the next at once when a call fails; only when all have failed is that a failure. The version
     goes along: what changed meanwhile is told by the next address, and an older version changes nothing."""
@@ -216,6 +230,7 @@
         self.line: _Line | None = None
         self.task: asyncio.Task[None] | None = None
         self.unread = False  # the last answer could not be taken up: changes may be missing
+        self.phase = Phase.WATCH
 
     def start(self) -> None:
         """Begins to watch; while a watch is on, it goes on."""
@@ -227,6 +242,7 @@
         if endpoints == self.endpoints:
             return
         self.endpoints, self.at = endpoints, self.at % len(endpoints)
+        self.phase = Phase.CATCH_UP
         if self.task is not None:
             self.stop()
             self.task = None
@@ -241,19 +257,24 @@
     async def _run(self) -> None:
         pause, failed = FIRST_PAUSE, 0
         while True:
+            silent = False
             try:
                 await self._call()
-                pause, failed = FIRST_PAUSE, 0
+                pause, failed, self.phase = FIRST_PAUSE, 0, Phase.WATCH
                 continue
-            except (OSError, TimeoutError, HttpError, ListError, orjson.JSONDecodeError) as problem:
+            except TimeoutError:
+                log.warning("discovery did not answer in time: %s", self.phase)
+                silent = self.phase is Phase.WATCH
+            except (OSError, HttpError, ListError, orjson.JSONDecodeError) as problem:
                 log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
             except Exception:
                 log.exception("an answer of discovery could not be taken up")
             if self.line is not None:
                 self.line.close()
-            failed += 1
+            self.phase = Phase.CATCH_UP
             self.at = (self.at + 1) % len(self.endpoints)
-            if failed % len(self.endpoints):
+            failed += not silent
+            if silent or failed % len(self.endpoints):
                 continue
             if self.must_ask:
                 # Here the decisions say when to ask again; told once this watch has ended.
@@ -266,10 +287,11 @@
     async def _call(self) -> None:
         """Asks for what changed since the list held. Guards discovery against whole lists for a large fleet,
         which cost it work by the line: they are asked for only where there is none to change."""
-        target, patience = "/api/targets", PATIENCE
+        target, patience = "/api/targets", self._patience
         if self.directory.rev >= 0 and not self.unread:
-            target += f"?from={self.directory.rev}&hold_ms={int(HOLD * 1000)}"
-            patience += HOLD
+            hold = HOLD if self.phase is Phase.WATCH else 0.0
+            patience = HOLD + LATE if hold else patience
+            target += f"?from={self.directory.rev}&hold_ms={int(hold * 1000)}"
         async with asyncio.timeout(patience):
             line = await self._connected()
             answer = await line.get(target)
@@ -279,10 +301,15 @@
         self.directory.take(orjson.loads(bytes(answer.body)))
         self.unread = False
 
+    @property
+    def _patience(self) -> float:
+        """s for a call that need not wait, at one address."""
+        return max(ANSWER / len(self.endpoints), min(DIAL, ANSWER))
+
     async def _connected(self) -> _Line:
         if self.line is None or self.line.transport is None:
             host, port = self.endpoints[self.at]
             loop = asyncio.get_running_loop()
-            async with asyncio.timeout(DIAL if len(self.endpoints) > 1 else None):
+            async with asyncio.timeout(self._patience):
                 _, self.line = await loop.create_connection(lambda: _Line(f"{host}:{port}"), host, port)
         return self.line
--- a/applehub/policy/roster.py
+++ b/applehub/policy/roster.py
@@ -11,7 +11,7 @@
 from applehub.policy.turn import Turn
 
 ANSWERS = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
-LIST_PAUSE = 2 * SECOND  # the longest from a failed call to discovery until the next
+LIST_PAUSE = 3 * SECOND // 2  # the longest from a failed call to discovery until the next
 FADES = 600 * SECOND  # from then on what an earlier process had seen counts for nothing
 BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 
@@ -24,6 +24,7 @@
         self.servers: dict[str, Server] = {}
         self.by_hand: set[str] = set()  # left out, whatever the list says
         self.put_back: dict[str, int] = {}  # and when those that were are cold since
+        self.unheard = 0  # calls to discovery that failed in a row
         self.copies = 1  # processes that serve as this router now
         self.routers = 0  # processes of all routers that were heard to be there
         self.origin: Server | None = None
@@ -50,11 +51,14 @@
     def on_members(self, event: api.Members) -> None:
         if event.kind is api.ListKind.FAILED:
             # Guards the rule on drains: what discovery has to tell counts as told some seconds later, heard
-            # or not, so an outage is no reason to stay away for longer and longer.
-            wait = min(LIST_PAUSE, self.turn.settings.ask_within) * self.turn.random.uniform(0.5, 1)
+            # or not, so a first failure gives a short pause, and an outage none that grows on.
+            most = min(LIST_PAUSE, self.turn.settings.ask_within) >> max(0, 2 - self.unheard)
+            self.unheard += 1
+            wait = most * self.turn.random.uniform(0.5, 1)
             self.turn.log(f"list unavailable, asked again in {wait / 1e6:.0f} ms")
             self.turn.later(int(wait), self._ask)
             return
+        self.unheard = 0
         if event.kind is api.ListKind.CACHED and self.turn.settings.must_ask:
             self._ask(None)
         if event.kind is not api.ListKind.DELTA:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -123,7 +123,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(discovery, "HOLD", 0.1)
-    monkeypatch.setattr(discovery, "PATIENCE", 0.3)
+    monkeypatch.setattr(discovery, "LATE", 0.3)
     c0, c1 = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1")
     script: list[bytes | None] = [
         whole_list(7, c0),
@@ -143,9 +143,10 @@
     watch.start()
     await soon(lambda: one.rev == 10 and len(web.got) > 8)
     targets = [asked[1] for asked in web.got[:9]]
-    full, after = b"/api/targets", b"/api/targets?from=%d&hold_ms=100"
-    changes = [after % rev for rev in (7, 8, 8, 9, 9, 9)]
-    assert targets == [full, *changes, full, after % 10]
+    full, after = b"/api/targets", b"/api/targets?from=%d&hold_ms=%d"
+    # After a call that failed, what is missing is asked for without waiting.
+    changes = [after % of for of in ((7, 100), (8, 100), (8, 0), (9, 100), (9, 0), (9, 0))]
+    assert targets == [full, *changes, full, after % (10, 100)]
     assert [event.kind for event in told] == [
         api.ListKind.FULL,
         api.ListKind.DELTA,
@@ -174,7 +175,10 @@
     await soon(lambda: told and told[-1].kind is api.ListKind.FAILED)  # only once both have failed in a row
     assert one.rev == 8 and set(one.targets) == {"c0", "c1"}  # the second's older list changed nothing
     assert [event.kind for event in told] == [api.ListKind.FULL, api.ListKind.DELTA, api.ListKind.FAILED]
-    assert [asked[1] for asked in webs["second"].got][:2] == [b"/api/targets?from=7&hold_ms=5000"] * 2
+    assert [asked[1] for asked in webs["second"].got][:2] == [
+        b"/api/targets?from=7&hold_ms=0",
+        b"/api/targets?from=7&hold_ms=2500",
+    ]
     spread = {Watch(endpoints, one, seed, must_ask=True).at for seed in range(20)}
     assert spread == {0, 1}
     watch.stop()
@@ -213,7 +217,8 @@
         if failures == 2:
             web.lines[-1].close()  # cut off in the middle of an answer
         await soon(lambda n=failures: len(told) == n + 1)  # type: ignore[misc]
-    assert {asked[1] for asked in web.got} == {b"/api/targets?from=41&hold_ms=5000"}
+    after = b"/api/targets?from=41&hold_ms=%d"
+    assert [asked[1] for asked in web.got] == [after % 2500, after % 0, after % 0]
     assert [event.kind for event in told[1:]] == [api.ListKind.FAILED] * 3
     assert one.can_serve and one.rev == 41
     watch.stop()
@@ -301,7 +306,7 @@
     running.send_signal(signal.SIGHUP)
     drain = asyncio.create_task(running.stderr.read())
     await soon(lambda: new.got or running.returncode is not None)
-    assert new.got[0][:2] == (b"GET", b"/api/targets?from=1&hold_ms=5000")
+    assert new.got[0][:2] == (b"GET", b"/api/targets?from=1&hold_ms=0")
     running.send_signal(signal.SIGTERM)
     assert await asyncio.wait_for(running.wait(), PATIENCE) == 0
     await drain
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -823,11 +823,23 @@
 def test_calls_that_fail_together_are_repeated_apart() -> None:
     """Discovery is one service for all: forty routers that fail at once must not ask again at once."""
     several = [Router(settings(must_ask=True, balancers=40), seed=seed) for seed in range(40)]
-    for router in several:
+    # The first pause is short, so that a drain is heard of in time; while calls fail they grow to 1.5 s.
+    for most in (3 * SECOND // 8, 3 * SECOND // 4, *[3 * SECOND // 2] * 4):
+        for router in several:
+            router.tell(api.Members(api.ListKind.FAILED, []))
+            assert router.wait(most // 2) == []
+        quarters = [sum(router.wait(most // 8) == [api.Watch()] for router in several) for _ in range(4)]
+        assert sum(quarters) == 40 and min(quarters) >= 3
+
+
+def test_a_call_that_succeeds_makes_the_next_pause_short_again() -> None:
+    router = Router(settings(must_ask=True))
+    for _ in range(5):
         router.tell(api.Members(api.ListKind.FAILED, []))
-        assert router.wait(SECOND) == []
-    quarters = [sum(router.wait(SECOND // 4) == [api.Watch()] for router in several) for _ in range(4)]
-    assert sum(quarters) == 40 and min(quarters) >= 4
+        router.wait(2 * SECOND)
+    router.tell(api.Members(api.ListKind.DELTA, []))
+    router.tell(api.Members(api.ListKind.FAILED, []))
+    assert router.wait(3 * SECOND // 8) == [api.Watch()]
 
 
 def test_a_drain_told_between_failed_calls_holds() -> None:
