Let an attempt that waits for its connection begin only where it still may

Symptom, read in the code and shown on sockets: an attempt whose dial takes up to 1.5 s was written when the connection came up, though its server drained by then, its client had left, or a repeat's window was over; one whose connection broke unwritten was sent again by the network code, unasked.

Cause: nobody decided at that instant. Pools were told of a list before the decisions, kept what waited for a dial, and a client's departure left its attempt running.

Change: the decisions are told of a list, and of a call by hand, before pools end what leads nowhere; what has not begun is handed back as never run, and decided on by the new list. A departure ends an attempt that is not wholly written. A repeat carries the time until which it may begin.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -203,7 +203,7 @@
             "tries": lambda: self.pools.written,
             "active": lambda: self.driver.active,
             "pool_size": lambda: self.directory.size,
-            "pool_ejected": lambda: balancer.avoided,
+            "pool_ejected": lambda: balancer.roster.avoided,
         }
         self.console = Console(self._calls())
 
--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -261,11 +261,13 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; timeout 0: until the client gives up."""
+    """Start an attempt; timeout 0: until the client gives up. begin_by: the clock time from which on it may
+    not begin any more, since a repeat would run again; 0: no limit."""
 
     id: str
     server: str
     timeout: int = 0
+    begin_by: int = 0
 
 
 @dataclass(slots=True)
--- a/applehub/node/byhand.py
+++ b/applehub/node/byhand.py
@@ -49,6 +49,10 @@
                 continue
             self.told[name] = one
             log.info("server %s is %s by hand", name, "left out" if one.out else "put back")
-            self.directory.leave_out(name, one.out)
             since = max(1, one.at * 1_000_000 - self.directory.origin_of_time)
+            # The decisions send there only while the pool is open, and know before it hands attempts back.
+            if not one.out:
+                self.directory.leave_out(name, False)
             self.tell(api.ByHand(name, one.out, since))
+            if one.out:
+                self.directory.leave_out(name, True)
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -1,5 +1,6 @@
 """A client's command, as it came, and the outcome of one attempt at it."""
 
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -59,6 +60,8 @@
 class Carrier(Protocol):
     """What an attempt is made on."""
 
+    unsent: bool  # what is asked is not yet wholly with the system: it has not run
+
     def give_up(self) -> bool:
         """Ends the attempt that is out; whether it may have run."""
 
@@ -73,7 +76,7 @@
     # Called when a long value begins, with its size: where its pieces go, or none if nobody waits.
     opened: Callable[[int, Source], Stream | None] = lambda size, source: None
     carrier: Carrier | None = None
-    again: bool = False  # moved to another connection, since the first broke with nothing written
+    begin_by: float = math.inf  # monotonic ns from which on none of it may be written any more
 
 
 def read_call(parts: list[bytes], names: Names) -> Call:
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -65,10 +65,7 @@
 
     @property
     def can_serve(self) -> bool:
-        return any(
-            one.member.state is api.State.READY and self.is_cache(name) and name not in self.out
-            for name, one in self.targets.items()
-        )
+        return any(self.is_cache(name) and self._open(one) for name, one in self.targets.items())
 
     @property
     def size(self) -> int:
@@ -95,16 +92,20 @@
             return rev == self.rev
         self.rev = rev
         entries = [target for one in answer["targets"] if (target := self._read(one)) is not None]
-        if whole:
-            named = {target.member.server for target in entries}
-            for name in [name for name in self.targets if name not in named]:
-                self._drop(name)
-        elif not entries:
+        named = {target.member.server for target in entries}
+        gone = [name for name in self.targets if name not in named] if whole else []
+        if not whole and not entries:
             return True
+        before = {name: self.targets[name] for name in named if name in self.targets}
         for target in entries:
             self._place(target)
         kind = api.ListKind.FULL if whole else api.ListKind.DELTA
         self.tell(api.Members(api.ListKind.CACHED if cached else kind, [one.member for one in entries]))
+        # Only now: what these ends hand back is decided on by the new list, never by the old one.
+        for name in gone:
+            self._drop(name)
+        for target in entries:
+            self._settle(target, before.get(target.member.server))
         if not cached:
             self.took(answer, whole)
         return True
@@ -134,25 +135,34 @@
         return Target(member, read_endpoint(entry["endpoint"]), since / 1e9)
 
     def _place(self, target: Target) -> None:
+        """Makes ready what the decisions may send to once they are told."""
+        if target.member.state is not api.State.GONE:
+            name = target.member.server
+            make = OriginConnection if target.member.kind == self.origin_kind else CacheConnection
+            pool = self.pools.add(name, target.endpoint, make)
+            pool.retired = pool.retired and not self._open(target)
+            self.targets[name] = target
+
+    def _settle(self, target: Target, before: Target | None) -> None:
+        """Ends what leads nowhere any more, once the decisions are told."""
         name = target.member.server
         if target.member.state is api.State.GONE:
             self._drop(name)
             return
-        make = OriginConnection if target.member.kind == self.origin_kind else CacheConnection
-        pool = self.pools.add(name, target.endpoint, make)
-        known = self.targets.get(name)
-        if known is not None and known.boot != target.boot:
-            pool.forget_before(target.boot)
-        self.targets[name] = target
+        if before is not None and before.boot != target.boot:
+            self.pools.pools[name].forget_before(target.boot)
         self._open_or_retire(target)
 
     def _open_or_retire(self, target: Target) -> None:
-        name = target.member.server
-        pool = self.pools.pools[name]
+        pool = self.pools.pools[target.member.server]
         pool.retired = False
-        if target.member.state is not api.State.READY or name in self.out:
+        if not self._open(target):
             pool.retire()
 
+    def _open(self, target: Target) -> bool:
+        """Whether attempts may begin there."""
+        return target.member.state is api.State.READY and target.member.server not in self.out
+
     def _drop(self, name: str) -> None:
         self.targets.pop(name, None)
         self.pools.remove(name)
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -10,7 +11,7 @@
 
 from applehub import interface as api
 from applehub.node import resp
-from applehub.node.call import Call, Ending, Exchange
+from applehub.node.call import Call, Carrier, Ending, Exchange
 from applehub.node.figures import Answered, Figures
 from applehub.node.pool import Pools
 from applehub.node.room import Room
@@ -103,18 +104,28 @@
         return held
 
     def withdraw(self, held: Held) -> None:
-        """The client has left. Its attempt runs on: the connection stays of use."""
+        """The client has left. An attempt that its server has whole runs on: the connection stays of use. One
+        that waits for its connection, or is half written, ends here: nobody wants it."""
         if held.open:
             log.debug("%s withdrawn", held.id)
             self._close(held)
             self._tell(api.Withdrawn(held.id))
+            carrier = self._carrier(held.attempt)
+            if held.attempt is not None and carrier is not None and carrier.unsent:
+                carrier.give_up()
+                self._ended(held.attempt, Ending(api.Status.CANCELLED))
             self._forget(held)
-        elif held.stream is not None and held.attempt is not None and held.attempt.exchange is not None:
-            carrier = held.attempt.exchange.carrier
+        elif held.stream is not None and held.attempt is not None:
+            carrier = self._carrier(held.attempt)
             if carrier is not None:
                 carrier.give_up()
             self._ended(held.attempt, Ending(api.Status.CANCELLED))
 
+    @staticmethod
+    def _carrier(attempt: Attempt | None) -> Carrier | None:
+        """What an attempt that is out is made on."""
+        return attempt.exchange.carrier if attempt is not None and attempt.exchange is not None else None
+
     def tell(
         self, event: api.Members | api.ByHand | api.Retuned | api.Copies | api.Fleet | api.Learnt
     ) -> None:
@@ -215,13 +226,14 @@
             now + wait,
             lambda ending: self._ended(attempt, ending),
             lambda size, source: self._opened(attempt, size, source),
+            begin_by=action.begin_by or math.inf,
         )
         if not pool.start(attempt.exchange):
             self._ended(attempt, Ending(api.Status.FULL))
 
     def _timeout(self, attempt: Attempt) -> None:
         """The connection is closed before the decisions hear of it, so that no second copy is ever out."""
-        carrier = attempt.exchange.carrier if attempt.exchange is not None else None
+        carrier = self._carrier(attempt)
         if attempt.held.attempt is attempt and carrier is not None:
             may_have_run = carrier.give_up()
             self._ended(attempt, Ending(api.Status.TIMEOUT if may_have_run else api.Status.MOOT))
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -7,7 +7,7 @@
 from applehub.policy.job import Job
 from applehub.policy.keys import KeyMemory, Popularity
 from applehub.policy.placement import Placement
-from applehub.policy.roster import Roster
+from applehub.policy.roster import BROKEN, Roster
 from applehub.policy.servers import SLOW, Server
 from applehub.policy.tenants import Tenants
 from applehub.policy.throttle import Monitor, Throttle
@@ -53,11 +53,6 @@
         """Those that hold now."""
         return self.turn.settings
 
-    @property
-    def avoided(self) -> int:
-        """How many listed cache servers are left out now, by hand or by choice."""
-        return self.roster.avoided
-
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Plays one event at its time."""
         turn = self.turn
@@ -232,6 +227,8 @@
             # Guards against an origin slower than an aim: a read given up fills no cache for those after it.
             # Guards against a jam fed by second tries: what still earns something late is waited for.
             timeout = left if read or job.spec.late_worth else min(left, job.due - now)
+        # Guards against a dial that outlasts the window: the repeat would begin when its id is forgotten.
+        begin_by = self._window_ends(job) if job.live and job.spec.effect is api.Effect.KEYED else 0
         server.out += 1
         server.sent_at = now
         job.live[job.made] = (server, now)
@@ -244,7 +241,7 @@
             self.memory.put(key, now)
         elif key is not None and read and not job.apart:
             self.fetches.setdefault(key, [])
-        self.turn.actions.append(api.Send(job.request.id, server.member.server, max(timeout, 0)))
+        self.turn.actions.append(api.Send(job.request.id, server.member.server, max(timeout, 0), begin_by))
 
     def _may_send(self, job: Job, server: Server) -> bool:
         """Rules 1 and 2: whether this attempt is allowed, by what the earlier ones proved."""
@@ -252,15 +249,15 @@
             return False
         if job.spec.effect is api.Effect.SAFE or not job.live:
             return True
-        if job.spec.effect is api.Effect.UNSAFE or not self._in_window(job):
+        if job.spec.effect is api.Effect.UNSAFE or self.turn.now >= self._window_ends(job):
             return False
         group, to = job.spec.group, server.member
         ran = [at.member for at, _ in job.live.values()]
         same = [one.zone == to.zone if group == "zone" else one.cell == to.cell for one in ran]
         return group == "all" or all(same)
 
-    def _in_window(self, job: Job) -> bool:
-        return self.turn.now < min(sent for _, sent in job.live.values()) + job.spec.window
+    def _window_ends(self, job: Job) -> int:
+        return min(sent for _, sent in job.live.values()) + job.spec.window
 
     def _give_up(self, job: Job | None) -> None:
         """The final answer of this router: a refusal where that is true, else a failure."""
@@ -268,7 +265,7 @@
             return
         effect, name = job.spec.effect, job.request.id
         dropped = effect is api.Effect.KEYED and job.spec.group == "all"
-        if effect is api.Effect.SAFE or not job.live or (dropped and self._in_window(job)):
+        if effect is api.Effect.SAFE or not job.live or (dropped and self.turn.now < self._window_ends(job)):
             self.turn.actions.append(api.Refuse(name, self.come_back))
         else:
             self.turn.actions.append(api.Fail(name))
@@ -306,7 +303,7 @@
         if server is not None:
             self.roster.observe(server, event)
         read = self.reads.pop((event.id, event.attempt), None)
-        if read is not None and event.status is not api.Status.RESET:  # that says nothing of the origin
+        if read is not None and event.status not in BROKEN:  # that says nothing of the origin
             self.monitor.note(event.status is api.Status.OK and self.turn.now < read[1], read[0])
         if job is None:
             return
@@ -329,7 +326,7 @@
         key, status = job.request.key, event.status
         if status in NEVER_RAN:
             job.live.pop(event.attempt, None)
-        elif status is api.Status.RESET:
+        if status in BROKEN:
             job.tried.discard(event.server)  # the key is still there, and another connection leads to it
         # Guards against a slow origin behind the caches: what one could not fetch, no other should try.
         late = self.turn.now >= job.due and not job.spec.late_worth
@@ -342,7 +339,7 @@
                 self._spend(job)
         elif job.at_origin:
             read = key is not None and not job.request.write
-            if read and status is api.Status.RESET and self.turn.now < job.due:
+            if read and status in BROKEN and self.turn.now < job.due:
                 self._spend(job)  # the network broke it: the origin has neither failed nor refused it
             else:
                 self._after_origin(job)
--- a/applehub/policy/placement.py
+++ b/applehub/policy/placement.py
@@ -22,9 +22,8 @@
     def place(self, job: Job) -> Server | None:
         """The owner of the key's range, or the next in range order where a departure acts."""
         turn, roster, now = self.turn, self.roster, self.turn.now
-        limit, crowd = job.spec.aim * SLOW, CROWD
-        if job.marked:
-            limit, crowd = job.spec.aim * SLOW_IF_MARKED, CROWD_IF_MARKED
+        slow, crowd = (SLOW_IF_MARKED, CROWD_IF_MARKED) if job.marked else (SLOW, CROWD)
+        limit = job.spec.aim * slow
         hops, ramp_time = 0, turn.settings.ramp_time
         depth, taken_up, owner, names = roster.ranges.locate(job.request.key or job.request.id, now)
         near: Iterable[Server] = (roster.servers[name] for name in names if name in roster.servers)
--- a/applehub/policy/roster.py
+++ b/applehub/policy/roster.py
@@ -13,6 +13,7 @@
 ANSWERS = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
 LIST_PAUSE = 3 * SECOND // 2  # the longest from a failed call to discovery until the next
 FADES = 600 * SECOND  # from then on what an earlier process had seen counts for nothing
+BROKEN = frozenset((api.Status.RESET, api.Status.MOOT))  # after and before the last byte was written
 BREAKS = 4  # attempts in a row that broke before a server counts as unreachable
 
 
@@ -216,8 +217,8 @@
         server.silences = server.silences + 1 if status is api.Status.TIMEOUT else 0
         # Guards against a network that breaks connections: one that broke says nothing of the process. One
         # that died refuses the next connect.
-        server.breaks = server.breaks + 1 if status is api.Status.RESET else server.breaks * (not answered)
-        failed = refused or failing or (status is api.Status.RESET and server.breaks >= BREAKS)
+        server.breaks = server.breaks + 1 if status in BROKEN else server.breaks * (not answered)
+        failed = refused or failing or (status in BROKEN and server.breaks >= BREAKS)
         if failed:
             if not server.fails or server.hearsay:
                 server.down_since, server.hearsay = now, False
--- a/applehub/policy/throttle.py
+++ b/applehub/policy/throttle.py
@@ -43,12 +43,9 @@
         self.queue[job.request.id] = job
         return None
 
-    def leave(self, job: Job) -> bool:
+    def leave(self, job: Job) -> None:
         """Takes a waiting job out of the buffer."""
-        if self.queue.pop(job.request.id, None) is None:
-            return False
-        self.level += 1
-        return True
+        self.level += self.queue.pop(job.request.id, None) is not None
 
     def wait_for(self, place: int) -> int:
         """How long until the job at this place in the buffer gets its token."""
