Name the states of a client's connection, and see departures and crossings in each

Symptoms, each shown on sockets: a client that left behind a full pipeline, unread answers or a QUIT was not missed, and what it had sent was still taken up, answer by answer; a request that crossed the end of a resting connection (room for another, SIGTERM, hand-over, a client too many) met a reset, which can take the last answer along; a last answer that was not out after 1 s was cut off; small answers waited for the client's acknowledgement.

Causes: reading stops in those states, and a paused transport tells no end; connections were closed over unread bytes after a look that leaves a gap; the flags last, lingering, parted had no owner; the library sets TCP_NODELAY only for sockets that name their protocol, and those that a listener gives name none.

Change: a connection is open, last, ended or gone, forward alone. Who is not read is looked at each 50 ms for the end of its stream; a departure withdraws all of it and drops what was not taken up. Each end writes the last answers and the end as one, reads on and drops for 1 s, or while its client still reads, then closes; half a command at the end is refused. At most an eighth of the clients' places is on its way out; past that the oldest goes at once.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import cast
 
 from applehub.node import resp
@@ -20,12 +21,22 @@
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
 BACKLOG = 1024  # clients that wait to be let in
-LET_IN = 16  # clients let in during one turn of the loop
+LET_IN = 16  # clients let in during one turn of the loop, at the most
 IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
+LOOK = 0.05  # s between looks at whether a client that is not being read has left
 log = logging.getLogger("applehub")
 
 
+class Phase(Enum):
+    """The life of a client's connection, which goes forward alone: by `_end_sending` and `_depart`."""
+
+    OPEN = 1  # commands are taken up and answered
+    LAST = 2  # nothing more is taken up; the sending ends behind the answers that are owed
+    ENDED = 3  # all is written, then the end: what still comes is read off and dropped for a bounded time
+    GONE = 4  # the client has left: nothing is owed
+
+
 class Slot:
     """The place of one answer on its connection."""
 
@@ -65,9 +76,8 @@
         self.frames = resp.Frames(self._admit)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
-        self.last = False  # nothing more is read; closed once all is answered
-        self.advancing = self.blocked = self.lingering = False
-        self.parted = False  # the end of the stream is written
+        self.phase = Phase.OPEN
+        self.advancing = self.blocked = False
         self.buffered = 0  # bytes counted in the room
         self.reserved = 0  # of the room, for a long value that comes
         self.stuck: asyncio.TimerHandle | None = None
@@ -77,16 +87,20 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        with contextlib.suppress(
+            OSError
+        ):  # a peer that is gone already; asyncio sets it for dialled ones alone
+            line = self.transport.get_extra_info("socket")
+            line.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if not self.server.room():
             log.warning("a client is turned away: %d are connected", len(self.server.open))
-            self.transport.write(resp.error("max number of clients reached"))
-            self.transport.close()
+            self._end_sending(resp.error("max number of clients reached"))
             return
         self.server.open.add(self)
         self._await_command()
 
     def data_received(self, data: bytes) -> None:
-        if self.last or self.parted:
+        if self.phase is not Phase.OPEN:
             return
         if self.frames.in_value:
             self._forgive()  # a value may take its time, as long as it comes
@@ -95,15 +109,49 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self._depart()
         self.server.gone(self)
         for timer in (self.stuck, self.late):
             if timer is not None:
                 timer.cancel()
+
+    def eof_received(self) -> None:
+        self._depart()  # before what is written has gone out, which may take a while; then it is closed
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self._close_later()
+
+    def left(self) -> None:
+        """The client has left while it was not being read. Reading on comes to the end that it sent."""
+        self._depart()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _depart(self) -> None:
+        """Withdraws all that is in work or waits here. Guards the servers against work for nobody."""
+        if self.phase is Phase.GONE:
+            return
+        self.phase = Phase.GONE
+        self._take_no_more()
         slots, self.slots = self.slots, deque()
         for slot in slots:
             if slot.held is not None:
                 self.server.driver.withdraw(slot.held)
 
+    def _take_no_more(self) -> None:
+        """Drops what was read and not taken up, and the room that it took."""
+        self.frames = resp.Frames()
+        self.server.driver.room.free(self.reserved)
+        self.reserved = 0
+        self._count()
+        self.server.ended(self)
+
+    def _count(self) -> None:
+        """Counts in the room what this connection holds."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        held = len(self.frames.buffer) + unsent
+        self.server.driver.room.note(held - self.buffered)
+        self.buffered = held
+
     def pause_writing(self) -> None:
         self.blocked = True
         self._await_reader(-1)
@@ -115,12 +163,14 @@
             return
         unread = self.transport.get_write_buffer_size()
         if unread == before:
-            self._abort()
+            self.cut()
         else:
             self.stuck = asyncio.get_running_loop().call_later(STUCK, self._await_reader, unread)
 
     def resume_writing(self) -> None:
         self.blocked = False
+        if self.phase in (Phase.ENDED, Phase.GONE):
+            return  # its close is on the way, and watches over itself
         if self.stuck is not None:
             self.stuck.cancel()
         self.advance()
@@ -135,7 +185,8 @@
     def _await_command(self) -> None:
         """Limits the time for a command. Guards the places of clients against peers that send nothing, or
         a part: a connection with nothing in work and no whole command is worth none."""
-        waits = not self.slots and not self.last and (not self.proven or bool(self.frames.buffer))
+        begun = not self.proven or bool(self.frames.buffer)
+        waits = not self.slots and self.phase is Phase.OPEN and begun
         if waits and self.late is None:
             self.late = asyncio.get_running_loop().call_later(PROMPT, self._too_late)
         elif not waits:
@@ -148,22 +199,23 @@
 
     def _too_late(self) -> None:
         log.info("a peer is closed that sent no whole command in time")
-        self.last = True
         self._put(resp.error("Protocol error: no whole command in time"))
+        self.phase = Phase.LAST
         self.advance()
 
     def break_off(self) -> None:
-        self.lingering = True  # nothing is written behind half a value
-        self._abort()
+        """Nothing is written behind half a value; the client sees by its length that it is not whole."""
+        self._depart()
+        self._end_sending()
 
-    def _abort(self) -> None:
+    def cut(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
     def advance(self) -> None:
         """Takes up commands and writes answers, in turn, as far as both go. Guards against recursion: an
         answer that is ready at once, or comes while this runs, is written by this loop."""
-        if self.advancing or self.lingering or self.transport is None:
+        if self.advancing or self.phase in (Phase.ENDED, Phase.GONE) or self.transport is None:
             return
         self.advancing = True
         try:
@@ -172,64 +224,72 @@
                 self._take_up()
         finally:
             self.advancing = False
-        if not self.slots and self.last:
-            self._linger()
-        elif not self.slots and (self.parted or (self.server.closing and not self._more_comes())):
-            self.transport.close()
+        if self.phase in (Phase.ENDED, Phase.GONE):
+            return
+        if not self.slots and (self.phase is Phase.LAST or (self.server.closing and not self._more_comes())):
+            # Guards a command that has come in part: its client reads a no, and not an end without an answer.
+            self._end_sending(resp.refused(0) if self.server.closing and self.frames.buffer else b"")
         else:
             self.idle_since = asyncio.get_running_loop().time()
             self._steer()
             self._await_command()
 
     def _more_comes(self) -> bool:
-        """Whether the system holds something of this client: a close would cross it."""
+        """Whether the system holds something of this client, which is read before the sending ends."""
         assert self.transport is not None
         arrived = select.poll()
         arrived.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(arrived.poll(0))
 
-    def _part(self, answers: bytes) -> None:
-        """Writes the last answers and the end of the stream as one. Guards against a client that has read the
-        answer and asks again before the end reaches it."""
-        assert self.transport is not None
-        self.parted = True
+    def make_room(self) -> None:
+        """Ends this idle connection in favour of another."""
+        self._end_sending()
+
+    def _end_sending(self, answers: bytes = b"") -> None:
+        """Writes the last answers and the end of the stream as one, and reads on for a while. Guards the last
+        answer: a close over unread bytes is a reset, which can reach the client before the answer does. What
+        is read after the end is dropped: its client asks again, as after any close between requests."""
+        if self.transport is None or self.phase is Phase.ENDED or self.transport.is_closing():
+            return
+        if self.phase is not Phase.GONE:
+            self.phase = Phase.ENDED
+        self._take_no_more()
+        self._forgive()
         line = self.transport.get_extra_info("socket")
         with contextlib.suppress(OSError):  # without it the end comes a moment later
             line.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
-        self.transport.write(answers)
+        if answers:
+            self.transport.write(answers)
         if not self.transport.is_closing():
             self.transport.write_eof()
+            self.transport.resume_reading()
+            self._close_later()
 
-    def make_room(self) -> None:
-        """Ends this idle connection in favour of another."""
-        self.server.open.discard(self)
-        if self.transport is not None:
-            self.transport.close()
-
-    def _linger(self) -> None:
-        """Ends the sending and reads on for a while. Guards the last answer: a close with bytes unread is a
-        reset, which can reach a client that is still sending before the answer does."""
-        assert self.transport is not None
-        self.lingering = True
-        self.frames.buffer.clear()
-        self._steer()
-        self._await_command()
-        if self.transport.can_write_eof() and not self.transport.is_closing():
-            self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER, self._abort)
+    def _close_later(self, before: int = -1) -> None:
+        """Closes once the client has had time to read all, or reads nothing any more."""
+        if self.transport is None:
+            return
+        unread = self.transport.get_write_buffer_size()
+        if unread == before:
+            self.cut()
+            return
+        if self.stuck is not None:
+            self.stuck.cancel()
+        patience = STUCK if unread else LINGER
+        self.stuck = asyncio.get_running_loop().call_later(patience, self._close_later, unread)
 
     def _take_up(self) -> None:
         """Takes up the commands that have come, as many as may be in work at once."""
         try:
-            while not self.last and not self.blocked and len(self.slots) < MOST_PIPELINED:
+            while self.phase is Phase.OPEN and not self.blocked and len(self.slots) < MOST_PIPELINED:
                 parts = self.frames.next()
                 if parts is resp.WAITING:
                     break
                 self._command(parts)
         except resp.FramingError as problem:
             # Where the next command begins is lost: what came before is answered, then this one, last.
-            self.last = True
             self._put(resp.error(f"Protocol error: {problem}"))
+            self.phase = Phase.LAST
 
     def _write(self) -> bool:
         """Writes the answers whose turn has come; whether there were any."""
@@ -250,9 +310,9 @@
             self.slots.popleft()
             ended += 1
         if ready and self.transport is not None:
-            whole = not self.slots and not self.frames.buffer and not self.last
-            if self.server.parting and whole and not self.parted and not self._more_comes():
-                self._part(b"".join(ready))
+            whole = not self.slots and not self.frames.buffer and self.phase is Phase.OPEN
+            if self.server.parting and whole and not self._more_comes():
+                self._end_sending(b"".join(ready))
             else:
                 self.transport.write(b"".join(ready))
         return ended > 0
@@ -269,7 +329,7 @@
             self._put(b"+PONG\r\n" if self.server.can_serve() else b"-LOADING no server list yet\r\n")
         elif name == b"QUIT":
             self._put(b"+OK\r\n")
-            self.last = True
+            self.phase = Phase.LAST
         else:
             self._put(resp.error("unknown command"))
 
@@ -304,14 +364,15 @@
         """Reads on or stops reading. Guards memory against clients that send much or read nothing."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.blocked or (self.last and not self.lingering) or len(self.slots) >= MOST_PIPELINED:
+        # What comes behind a last command is read and dropped: that costs no memory, and shows who leaves.
+        full = self.phase is Phase.OPEN and (self.blocked or len(self.slots) >= MOST_PIPELINED)
+        if full:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
-        held = len(self.frames.buffer) + self.transport.get_write_buffer_size()
-        self.server.driver.room.note(held - self.buffered)
-        self.buffered = held
-        if self.server.driver.room.over and held > resp.MOST_VALUE:
+        self.server.unread(self, full)
+        self._count()
+        if self.server.driver.room.over and self.buffered > resp.MOST_VALUE:
             self.transport.abort()
 
 
@@ -332,7 +393,11 @@
 
     def __init__(self, driver: Driver, names: Names, most: int) -> None:
         self.driver, self.names, self.most = driver, names, most
+        self.most_ending = max(4, most // 8)
         self.open: set[Client] = set()
+        self.ending: dict[Client, None] = {}  # their sending has ended, or they have left; oldest first
+        self._unread: set[Client] = set()  # not read for now: whether they have left has to be looked for
+        self._looking = False
         self.can_serve: Callable[[], bool] = lambda: False
         self.parting = self.closing = False
         self._empty = asyncio.Event()
@@ -370,13 +435,46 @@
         oldest.make_room()
         return True
 
-    def gone(self, client: Client) -> None:
+    def ended(self, client: Client) -> None:
+        """Nothing more is taken from a client; its descriptor goes in a moment. Guards the descriptors: where
+        too many are on their way out, the oldest of them goes now."""
         self.open.discard(client)
+        self._unread.discard(client)
+        self.ending[client] = None
+        if len(self.ending) > self.most_ending:
+            oldest = next(iter(self.ending))
+            del self.ending[oldest]
+            oldest.cut()
+
+    def gone(self, client: Client) -> None:
+        self.ending.pop(client, None)
         self.driver.room.free(client.buffered + client.reserved)
         client.buffered = client.reserved = 0
-        if self.parting and not self.open:
+        if self.parting and not self.open and not self.ending:
             self._empty.set()
 
+    def unread(self, client: Client, unread: bool) -> None:
+        """Notes whether a client is read. One that is not shows no end of its stream by itself."""
+        (self._unread.add if unread else self._unread.discard)(client)
+        if self._unread and not self._looking:
+            self._looking = True
+            asyncio.get_running_loop().call_later(LOOK, self._look)
+
+    def _look(self) -> None:
+        """Looks who of those has left. Guards servers against work for clients that have gone: what they sent
+        stands unread before the end of their streams."""
+        looks, clients = select.poll(), {}
+        for client in self._unread:
+            if client.transport is not None:
+                descriptor = client.transport.get_extra_info("socket").fileno()
+                clients[descriptor] = client
+                looks.register(descriptor, select.POLLRDHUP)  # a break is told unasked
+        for descriptor, _ in looks.poll(0) if clients else ():
+            clients[descriptor].left()
+        self._looking = bool(self._unread)
+        if self._looking:
+            asyncio.get_running_loop().call_later(LOOK, self._look)
+
     def hand_over(self) -> None:
         """Stops listening, since another process lets clients in; each connection ends after an answer."""
         self.parting = True
@@ -389,7 +487,7 @@
         self.closing = True
         for client in list(self.open):
             client.advance()
-        if not self.open:
+        if not self.open and not self.ending:
             self._empty.set()
 
     async def emptied(self, patience: float) -> None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -152,7 +152,11 @@
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
-            self.close()  # nothing was asked
+            rested = (asyncio.get_running_loop().time() - self.idle_since) * 1000
+            log.info(
+                "%s:%d answered what nobody asked, %.1f ms after its answer", *self.pool.endpoint, rested
+            )
+            self.close()
             return
         try:
             self.read(data)
