Set descriptors aside for discovery, servers and operators before clients get theirs

Need: idle clients may fill the descriptors while discovery is down. Read: clients had half of the limit, connections to servers three eighths, and 16 clients let in a turn, each gone four turns later, came on top: at 256 descriptors 64 of them, at 64 as many as there are.

Change: the router's own come first, then what is let in and turned away in a few turns (fewer at a time where there are few), and the rest is shared 3 to 4 between servers and clients, a ninth of the clients' for those whose end is written.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -16,6 +16,7 @@
 from applehub.node.byhand import ByHand
 from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
+from applehub.node.descriptors import Places, share_out
 from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
@@ -185,7 +186,7 @@
         self.pools = Pools(0, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
         balancer = Balancer(told.settings, told.seed)
         self.driver = Driver(balancer, self.pools, told.ceilings.most_held, self.figures)
-        self.clients = Clients(self.driver, told.names, told.sockets // 2)
+        self.clients = Clients(self.driver, told.names, self._places())
         origin_kind = told.settings.origin_kind if told.settings.aside else -1
         self.directory = Directory(told.names, origin_kind, self.pools, self.driver.tell)
         self.watch = Watch(told.discovery, self.directory, told.seed, told.settings.must_ask)
@@ -251,10 +252,14 @@
             raise CallError("not ready")
         return "+OK"
 
+    def _places(self) -> Places:
+        return share_out(self.told.sockets, self.told.console is not None)
+
     def _budget(self, copies: int) -> None:
         """Takes this process's part of what all processes of the router may use."""
         self.copies = copies
-        self.pools.most = self.told.sockets * 3 // 8 // copies
+        self.clients.places = self._places()
+        self.pools.most = self.clients.places.pools // copies
         self.driver.room.most = room_for_values(self.told.memory, copies)
         self.driver.tell(api.Copies(copies))
 
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -12,6 +12,7 @@
 
 from applehub.node import resp
 from applehub.node.call import CallError, read_call
+from applehub.node.descriptors import Places
 from applehub.node.driver import Driver, Held
 from applehub.node.room import LONG_PART
 from applehub.node.stream import Reader, Stream
@@ -21,7 +22,6 @@
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
 BACKLOG = 1024  # clients that wait to be let in
-LET_IN = 16  # clients let in during one turn of the loop, at the most
 IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
 LOOK = 0.05  # s between looks at whether a client that is not being read has left
@@ -391,9 +391,8 @@
 class Clients:
     """The listener and its connections."""
 
-    def __init__(self, driver: Driver, names: Names, most: int) -> None:
-        self.driver, self.names, self.most = driver, names, most
-        self.most_ending = max(4, most // 8)
+    def __init__(self, driver: Driver, names: Names, places: Places) -> None:
+        self.driver, self.names, self.places = driver, names, places
         self.open: set[Client] = set()
         self.ending: dict[Client, None] = {}  # their sending has ended, or they have left; oldest first
         self._unread: set[Client] = set()  # not read for now: whether they have left has to be looked for
@@ -418,14 +417,15 @@
             listener = inherited_listener(inherited)
         # Guards the descriptors: asyncio lets in as many in one turn as may queue, before the first of them
         # can be turned away. So it is told of a few, and the system of the true length of the queue.
-        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=LET_IN)
+        few = self.places.let_in
+        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=few)
         listener.listen(BACKLOG)
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
     def room(self) -> bool:
         """Whether one more connection may stay; the longest idle one makes room for it."""
-        if len(self.open) < self.most:
+        if len(self.open) < self.places.clients:
             return True
         before = asyncio.get_running_loop().time() - IDLE_LEAST
         idle = [one for one in self.open if one.idle_since < before and not one.slots and one.proven]
@@ -441,7 +441,7 @@
         self.open.discard(client)
         self._unread.discard(client)
         self.ending[client] = None
-        if len(self.ending) > self.most_ending:
+        if len(self.ending) > self.places.ending:
             oldest = next(iter(self.ending))
             del self.ending[oldest]
             oldest.cut()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -9,6 +9,7 @@
 import hiredis
 
 from applehub.node.clients import Clients
+from applehub.node.descriptors import Places
 from applehub.node.discovery import Directory
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
@@ -16,6 +17,7 @@
 from applehub.node.resp import command
 from applehub.settings import read_ceilings, read_names, read_settings
 
+LET_IN = 16  # clients that a bench lets in during one turn of its loop
 PATIENCE = 20.0  # s; every wait of these tests is on an event, and this long at the most
 Json = dict[str, Any]
 
@@ -213,7 +215,7 @@
     settings, limits, names = read_settings(told), read_ceilings(told), read_names(told)
     pools = Pools(sockets, limits.dial_timeout / 1e9, limits.keepalive / 1e9)
     driver = Driver(Balancer(settings, 1), pools, limits.most_held, Figures())
-    clients = Clients(driver, names, sockets)
+    clients = Clients(driver, names, Places(sockets, max(4, sockets // 8), LET_IN, sockets))
     directory = Directory(names, 1, pools, driver.tell)
     clients.can_serve = lambda: directory.can_serve
     listed = [entry("c0", peers[0].address), entry("o", peers[1].address, model="origin")]
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,7 +9,7 @@
 
 import hiredis
 import pytest
-from peers import MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
+from peers import LET_IN, MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
 from applehub.node import clients, resp
@@ -632,7 +632,7 @@
         while not most or len(os.listdir("/proc/self/fd")) > before + 4:
             await asyncio.sleep(0)
             most = max(most, len(os.listdir("/proc/self/fd")) - before)
-        assert most <= 4 + 4 * clients.LET_IN
+        assert most <= 4 + 4 * LET_IN
         for one in rush:
             one.close()
 
