Hold a class to the strictest effect where the settings do not say that a repeat does no harm

Read: a class without `effect` counted as safe and was sent again; a keyed one without `group` might be repeated at any server.

Change: without them a class is unsafe, its repeats are dropped by its cell alone, its window is none.

--- a/applehub/settings.py
+++ b/applehub/settings.py
@@ -62,11 +62,12 @@
 
 def _class(source: Json, number: int) -> io.RequestClass:
     at = f"classes[{number}]"
+    # Guards against a second run: where it is not told that one does no harm, the strictest holds.
     return io.RequestClass(
         aim=_count(source, f"{at}.aim", 1),
         deadline=_count(source, f"{at}.deadline", 1),
-        effect=io.Effect(_choice(source, f"{at}.effect", tuple(io.Effect), "safe")),
-        group=_choice(source, f"{at}.group", ("all", "zone", "cell"), "all"),
+        effect=io.Effect(_choice(source, f"{at}.effect", tuple(io.Effect), io.Effect.UNSAFE)),
+        group=_choice(source, f"{at}.group", ("all", "zone", "cell"), "cell"),
         window=_count(source, f"{at}.repeatWindow", 0, 0),
         worth=_number(source, f"{at}.gain", 0, 1),
         late_worth=_number(source, f"{at}.lateWorth", 0, 0),
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -31,7 +31,7 @@
         "balancers": 1,
         "ceilings": {"attemptsCap": 4, "dialTimeout": 20 * second, "keepalive": 60 * second, **ceilings},
         "classes": [
-            {"name": "read", "aim": 5 * second, "deadline": 10 * second, "lateWorth": 0.5},
+            {"name": "read", "aim": 5 * second, "deadline": 10 * second, "lateWorth": 0.5, "effect": "safe"},
             {
                 "name": "put",
                 "aim": 5 * second,
