--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -345,7 +345,7 @@
         else:
             self.clients.hand_over()
             await self.clients.emptied(killed - IDLE_UNTIL - loop.time())
-        self.clients.close()
+        await self.clients.shut()
         if self.peering is not None:
             self.peering.stop()
         await self.clients.emptied(killed - GONE_BY - loop.time())
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -6,7 +6,7 @@
 import select
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import cast
 
@@ -400,6 +400,7 @@
         self.can_serve: Callable[[], bool] = lambda: False
         self.parting = self.closing = False
         self._empty = asyncio.Event()
+        self._listener: socket.socket | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -420,6 +421,8 @@
         few = self.places.let_in
         self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=few)
         listener.listen(BACKLOG)
+        # What another process shares goes on being let in there.
+        self._listener = listener if inherited is None else None
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
@@ -481,6 +484,20 @@
         if self._server is not None:
             self._server.close()
 
+    async def shut(self) -> None:
+        """Closes, with those let in who stand in the listener's queue. Guards requests that the system has
+        taken: a listener that closes resets what waits there."""
+        loop = asyncio.get_running_loop()
+        waiting: list[Awaitable[object]] = []
+        with contextlib.suppress(OSError):  # nobody waits any more
+            while self._listener is not None and len(waiting) < self.places.ending:
+                line, _ = self._listener.accept()
+                line.setblocking(False)
+                waiting.append(loop.connect_accepted_socket(lambda: Client(self), line))
+        self.hand_over()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        self.close()
+
     def close(self) -> None:
         """Stops listening; each connection ends after its last answer, idle ones at once."""
         self.hand_over()
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -126,6 +126,27 @@
     play(monkeypatch, test)
 
 
+@pytest.mark.parametrize("sent", [GET, b""], ids=["a request", "nothing"])
+def test_who_stands_in_the_listeners_queue_as_it_closes_is_let_in(
+    monkeypatch: pytest.MonkeyPatch, sent: bytes
+) -> None:
+    """The system had taken connection and request; the listener's close reset both."""
+
+    async def test() -> None:
+        async with router(lambda asked, line: hit(asked[2]), sockets=64) as bench, raw(bench):
+            late = [Raw(bench.port) for _ in range(3)]
+            for at, one in enumerate(late):
+                one.line.sendall(sent.replace(b"i1", b"j%d" % at))
+            await bench.clients.shut()  # in the turn in which they came
+            for at, one in enumerate(late):
+                assert await one.all() == (b"$2\r\nj%d\r\n" % at if sent else b"")
+                one.line.close()
+            await asyncio.wait_for(bench.clients.emptied(60), 60)
+            assert not bench.clients.open and len(bench.cache.got) == (3 if sent else 0)
+
+    play(monkeypatch, test)
+
+
 @pytest.mark.parametrize("behind", [b"", GET, b"x" * 300_000], ids=["nothing", "a request", "a flood"])
 @pytest.mark.parametrize(
     ("sent", "answer"),
