Bound what all routers together may have saved for a cold server

Need: cold servers fall under the sum of what all processes send; past a budget of N calls only 2 x root of N + 2 is chance.

Cause: each router saved up to two tokens for each cold server, so 30 of them 60 where N was 42, and 200 ten times what one window allows, all spent where traffic turns to it at once. Ruled out: lists that come late, restarts and resets alone (no window over).

Change: a router saves what falls due in half the rule's window, two at the most; where that is less than a token it draws for one by the part it holds. What a kind's servers are seen to bear of an equal range bounds the rate, too.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -17,6 +17,7 @@
 from applehub.checked import read_toml
 from applehub.lab import berger, cost
 from applehub.lab.clock import MILLI
+from applehub.lab.cold import cold
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
 from applehub.lab.demand import demand_of
 from applehub.lab.fleet.commands import each_fault, fleet, judge_again, list_scale
@@ -346,6 +347,7 @@
 main.add_command(each_fault)
 main.add_command(list_scale)
 main.add_command(peers)
+main.add_command(cold)
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/applehub/lab/cold.py
@@ -0,0 +1,121 @@
+"""What all routers together send to a cold server, beside what the rule lets chance add to its budget."""
+
+import itertools
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from applehub.lab.play import stage
+from applehub.lab.problems import guarded
+from applehub.lab.servers import bound_of
+from applehub.lab.spec import SpecError, read_raw
+from applehub.settings import Json
+
+JOIN = {"kind": "join", "at_s": 8, "for_s": 7, "part": 0.6}
+BURST = {"kind": "burst", "at_s": 12, "for_s": 10, "factor": 1.5}
+DAYS: dict[str, list[Json]] = {  # ways in which routers can come to send too much, by what they share
+    "join": [JOIN],
+    "burst": [JOIN, BURST],
+    "uneven": [
+        JOIN,
+        {"kind": "shift", "at_s": 10, "for_s": 12},
+        {"kind": "hot_key", "at_s": 10, "for_s": 12},
+    ],
+    "restarts": [JOIN, {"kind": "roll_routers", "at_s": 8, "for_s": 16}],
+    "kill": [JOIN, BURST, {"kind": "kill_routers", "at_s": 14, "part": 0.7}],
+    "late lists": [JOIN, {"kind": "discovery", "at_s": 9, "for_s": 6, "down": True}],
+    "breaks": [JOIN, {"kind": "breaks", "at_s": 6, "for_s": 18, "lost": 0.02, "reset": 0.05}],
+    "zone": [{"kind": "zone_loss", "at_s": 6, "for_s": 4}, BURST],
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fullest:
+    """The fullest window of one play: requests of mean work, by how many routers."""
+
+    sent: float
+    budget: float
+    informed: float  # part of it that informed routers sent
+
+    @property
+    def bound(self) -> float:
+        return bound_of(self.budget)
+
+    @property
+    def part(self) -> float:
+        """Of the bound; over 1 the server may be taken for pushed over."""
+        return self.sent / self.bound
+
+
+def play(day: str, routers: int, seed: int, load: float) -> list[Fullest]:
+    """The fullest window of each server that was cold on a day, in the order of the servers."""
+    servers = max(15, round(routers * 0.6))
+    raw = {
+        "name": "cold", "seconds": 34, "topology": {"routers": routers, "servers": servers},
+        "workload": {"load": load}, "faults": DAYS[day],
+    }  # fmt: skip
+    world = stage(read_raw(day, raw)[1][0][1], "router", seed)
+    world.play()
+    return [Fullest(*server.fullest) for server in world.all_servers if server.fullest[1] > 0]
+
+
+def _tasks(sizes: list[int], seeds: range, load: float) -> Iterator[tuple[str, int, int, float]]:
+    # The longest first, so that no core is left with one alone at the end.
+    return itertools.product(DAYS, sorted(sizes, reverse=True), seeds, [load])
+
+
+def _play(task: tuple[str, int, int, float]) -> tuple[str, int, list[Fullest]]:
+    return task[0], task[1], play(*task)
+
+
+def table(
+    sizes: list[int], seeds: range, load: float, jobs: int, told: Callable[[], Any] = lambda: None
+) -> dict[tuple[str, int], list[Fullest]]:
+    """All fullest windows by day and number of routers."""
+    found: dict[tuple[str, int], list[Fullest]] = {(day, size): [] for day in DAYS for size in sizes}
+    with ProcessPoolExecutor(jobs) as pool:
+        for day, size, windows in pool.map(_play, _tasks(sizes, seeds, load)):
+            found[day, size] += windows
+            told()
+    return found
+
+
+@click.command("cold")
+@click.option("--sizes", default="5,20,30,200", show_default=True, help="Numbers of routers.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True)
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
+@click.option("--load", type=click.FloatRange(0.05, 1.5), default=0.6, show_default=True)
+@click.option("--jobs", type=click.IntRange(1), default=None, help="Processes at once [all cores].")
+@guarded
+def cold(sizes: str, seeds: int, first: int, load: float, jobs: int | None) -> None:
+    """Measures what cold servers are sent by all routers in the rule's window, beside N + 2 x root of N + 2:
+    of each server its fullest window. Code 1 where one was over."""
+    try:
+        numbers = [int(one) for one in sizes.split(",")]
+    except ValueError:
+        numbers = []
+    if not numbers or min(numbers) < 1 or max(numbers) > 400:
+        raise SpecError(f"--sizes: expected numbers from 1 to 400, as in 5,30, got {sizes!r}")
+    found = table(numbers, range(first, first + seeds), load, jobs or os.cpu_count() or 1)
+    shown = Table(
+        "day", "routers", "cold servers", "fullest / bound, median", "p99", "most", "sent, N", "over"
+    )
+    over = 0
+    for (day, size), windows in found.items():
+        parts = sorted(one.part for one in windows)
+        most = max(windows, key=lambda one: one.part)
+        past = sum(part > 1 for part in parts)
+        over += past
+        shown.add_row(
+            day, str(size), str(len(parts)), f"{parts[len(parts) // 2]:.2f}",
+            f"{parts[len(parts) * 99 // 100]:.2f}", f"{parts[-1]:.2f}", f"{most.sent:.1f}, {most.budget:.1f}",
+            str(past),
+        )  # fmt: skip
+    Console(width=110).print(shown)
+    raise SystemExit(1 if over else 0)
--- a/applehub/lab/servers.py
+++ b/applehub/lab/servers.py
@@ -1,5 +1,6 @@
 """Cache servers: shared cores, a bounded memory, a connection table, warm-up and tipping."""
 
+import math
 from collections import deque
 from heapq import heappop, heappush
 from typing import Any, Protocol
@@ -11,7 +12,8 @@
 from applehub.lab.streams import Draws
 
 LONG_AGO = -(1 << 62)
-RULE_SLACK = 3  # requests of mean work by which a cold server's budget may be passed by chance
+FALLS = 3  # roots of its budget, and calls beside, past which a cold server falls over
+CHANCE = 2  # the same, up to which what passes its budget is put down to chance
 EVENTS_KEPT = 8
 
 
@@ -151,6 +153,11 @@
         self._plan()
 
 
+def bound_of(budget: float, slack: int = CHANCE) -> float:
+    """Up to how many calls a budget of so many may be passed by."""
+    return budget + slack * math.sqrt(budget) + slack
+
+
 class CacheServer(Station):
     """One cache server; what it stores, whom it lets in, and how it comes back cold."""
 
@@ -185,6 +192,9 @@
         self.events: deque[tuple[int, str]] = deque(maxlen=EVENTS_KEPT)
         self.budget: deque[tuple[int, int, bool]] = deque()  # what came to it cold: when, work, informed
         self.tip_multiple, self.tip_window = 0.0, 1
+        # Of the window in which it got most of its bound: sent, and budget, in requests of mean work; the
+        # part of it that informed routers sent.
+        self.fullest = (0.0, 0.0, 0.0)
 
     # Speed
 
@@ -277,8 +287,11 @@
         while self.budget[0][0] < now - self.tip_window:
             self.budget.popleft()
         sent = sum(entry[1] for entry in self.budget)
-        bears = self.tip_multiple * self.capacity * self.tip_window + RULE_SLACK * self.mean_work
-        return sent > bears
+        budget = self.tip_multiple * self.capacity * self.tip_window
+        calls, most = sent / self.mean_work, budget / self.mean_work
+        if calls / bound_of(most) > self.fullest[0] / bound_of(self.fullest[1]):
+            self.fullest = calls, most, self.informed_part
+        return calls > bound_of(most, FALLS)
 
     @property
     def informed_part(self) -> float:
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -289,8 +289,7 @@
         read = self.reads.pop((event.id, event.attempt), None)
         if read is not None:
             self.monitor.note(self.turn.now < read[1], read[0])
-        job = self.jobs.get(event.id)
-        if job is None:
+        if (job := self.jobs.get(event.id)) is None:
             return
         if job.at_origin and not job.apart and job.request.key is not None and not job.request.write:
             self.memory.put(job.request.key, self.turn.now)
--- a/applehub/policy/placement.py
+++ b/applehub/policy/placement.py
@@ -4,6 +4,7 @@
 from itertools import chain
 
 from applehub.policy.job import Job
+from applehub.policy.rates import SECOND
 from applehub.policy.roster import Roster
 from applehub.policy.servers import SLOW, Server
 from applehub.policy.turn import Turn
@@ -63,6 +64,9 @@
         return None
 
     def _in_budget(self, server: Server, servers: int) -> bool:
-        """Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do."""
-        rate = self.roster.flow.per_second(self.turn.now) / servers * self.roster.warmth(server)
-        return server.budget.take(self.turn.now, rate, WARMING_TOKENS / self.roster.copies)
+        """Guards against hot keys that a warming server takes up: it gets the mean flow of what it can do.
+        And against many routers that spend at once: none saves more than half the rule's window brings."""
+        turn, part = self.turn, self.roster.warmth(server) * self.roster.kind(server).share
+        rate = self.roster.flow.per_second(turn.now) / servers * part
+        most = min(WARMING_TOKENS / self.roster.copies, rate * turn.settings.fall_time / SECOND / 2)
+        return server.budget.take(turn.now, rate, most, turn.random.random())
--- a/applehub/policy/rates.py
+++ b/applehub/policy/rates.py
@@ -41,10 +41,9 @@
     def __init__(self, tokens: float = 1.0, at: int = 0) -> None:
         self.tokens, self.at = tokens, at
 
-    def take(self, now: int, rate: float, most: float) -> bool:
-        self.tokens = min(self.tokens + rate * (now - self.at) / SECOND, max(1.0, most))
-        self.at = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
+    def take(self, now: int, rate: float, most: float, luck: float = 1.0) -> bool:
+        """A bank too small for a whole token gives one by the part that it holds, at a luck from 0 to 1."""
+        tokens = min(self.tokens + rate * (now - self.at) / SECOND, most)
+        given = tokens >= 1 or (most < 1 and luck < tokens)
+        self.tokens, self.at = max(0.0, tokens - 1) if given or most < 1 else tokens, now
+        return given
