--- a/applehub/events.py
+++ b/applehub/events.py
@@ -30,6 +30,7 @@
     CLOSED = "closed"  # request, router: the connection ended with no whole answer
     GAVE_UP = "gave_up"  # request, router: no answer in its time and the slack
     EXTRA = "extra"  # request, router: an answer that nobody waits for
+    LEFT = "left"  # request, router: its client closed its connection before any answer
     UNREACHED = "unreached"  # request, router: no connection came up
     ATTEMPT = "attempt"  # request, router, server, cls: came in whole at a server
     ENDED = "ended"  # request, router, server, how
--- a/applehub/lab/fleet/clients.py
+++ b/applehub/lab/fleet/clients.py
@@ -26,11 +26,12 @@
 class Asked:
     """One request."""
 
-    __slots__ = ("again", "at", "cls", "key", "name", "router", "timer", "words")
+    __slots__ = ("again", "at", "cls", "key", "leaves", "name", "router", "timer", "words")
 
     def __init__(self, name: str, router: str, cls: str, key: str, words: bytes) -> None:
         self.name, self.router, self.cls, self.key, self.words = name, router, cls, key, words
         self.at, self.again = 0, False
+        self.leaves = 0.0  # s after it was sent; 0: it stays
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -139,6 +140,16 @@
             )  # fmt: skip
             left = clients.wait_ms / 1000 + clients.slack
             asked.timer = clients.loop.call_later(left, self._give_up, line, asked)
+            if asked.leaves:
+                clients.loop.call_later(asked.leaves, self._leave, line, asked)
+
+    def _leave(self, line: Line, asked: Asked) -> None:
+        """Its client goes, if it still waits there: whatever else waits on that connection goes with it."""
+        if line.asked is asked:
+            line.asked = None
+            self.clients.end(asked, Event.LEFT)
+            if line.transport is not None:
+                line.transport.abort()
 
     def _give_up(self, line: Line, asked: Asked) -> None:
         self.clients.end(asked, Event.GAVE_UP)
@@ -231,6 +242,8 @@
         else:
             cls, words = "read", (b"C.GET", key, name, b"c=read," + info)  # type: ignore[assignment]
         asked = Asked(name.decode(), router.name, cls, key.decode(), command(*words))
+        if self.told["leaves"] and self.draws.uniform() < self.told["leaves"]:
+            asked.leaves = max(0.001, self.draws.uniform() * self.told["leaves_ms"] / 1000)
         self.open[asked.name] = asked
         router.ask(asked)
 
--- a/applehub/lab/fleet/datagrams.py
+++ b/applehub/lab/fleet/datagrams.py
@@ -62,6 +62,9 @@
             if held is not None:
                 self._pass_on(held)
 
+    def hang(self) -> None:
+        """Datagrams know no connection that may hang."""
+
     def reset(self) -> None:
         """Datagrams know no connection to reset."""
 
--- a/applehub/lab/fleet/ground.py
+++ b/applehub/lab/fleet/ground.py
@@ -149,6 +149,8 @@
                 "puts": load.puts,
                 "once": load.once,
                 "wait_ms": load.wait_ms,
+                "leaves": load.leaves,
+                "leaves_ms": load.leaves_ms,
                 "slack_ms": self.plan.rules.answer_slack_ms,
                 "value": VALUE,
                 "routers": {one.name: self.edges[f"clients>{one.name}"] for one in self.routers},
--- a/applehub/lab/fleet/plan.py
+++ b/applehub/lab/fleet/plan.py
@@ -55,6 +55,8 @@
     puts: Part01 = 0.03
     once: Part01 = 0.02
     wait_ms: Annotated[int, Field(ge=10, le=60_000)] = 1000
+    leaves: Part01 = 0.0  # of the requests, those whose client leaves before it has an answer
+    leaves_ms: Positive = 200.0  # after its request, at the latest
     seed: Annotated[int, Field(ge=0)] = 1
 
 
@@ -65,6 +67,8 @@
     drain_slack_ms: NotNegative = 550.0
     by_hand_slack_ms: NotNegative = 1050.0
     stale_ms: Positive = 3000.0  # from a change of the list until each router is told
+    told_ms: Positive = 6000.0  # the same, from when the way was free again, whatever struck it before
+    departed_ms: Positive = 100.0  # from a client's departure until no attempt begins for it
     keyed_window_ms: Positive = 2050.0
     peers_ms: Positive = 10_000.0  # from a fault's end until each router knows of just those that are there
 
@@ -142,13 +146,16 @@
 class Link(Fault):
     """Strikes edges, by patterns of their names (`router-1>cache-*`, `clients>router-2`, `*>list`).
 
+    hang: connections that are open now carry nothing any more, for good; new ones are as ever.
     silent: open connections carry nothing (`way`: both, there, back) and new ones never come up. delay: `ms`
     and up to `jitter_ms` more. reset: open connections are reset. cut: each connection is reset past `bytes`
     of answers. rate: at most `bytes` a second each way. pieces: what is carried arrives in pieces of `bytes`.
     To datagrams alone, a `part` of them: lose, double, short (cut at any byte), swap (goes after the
     next)."""
 
-    kind: Literal["silent", "delay", "reset", "cut", "rate", "pieces", "lose", "double", "short", "swap"]
+    kind: Literal[
+        "silent", "hang", "delay", "reset", "cut", "rate", "pieces", "lose", "double", "short", "swap"
+    ]
     edges: Patterns
     way: Literal["both", "there", "back"] = "both"
     ms: NotNegative = 100.0
