Let departures during a dial to the origin say nothing of the origin's health

Symptom, forced on sockets: each client that left while its origin read waited for a connection counted as a read that the origin had failed, so that a burst of departures could turn the throttle on.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -87,9 +87,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        with contextlib.suppress(
-            OSError
-        ):  # a peer that is gone already; asyncio sets it for dialled ones alone
+        # asyncio sets it for dialled connections alone; one whose peer is gone already takes no option.
+        with contextlib.suppress(OSError):
             line = self.transport.get_extra_info("socket")
             line.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if not self.server.room():
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -302,7 +302,7 @@
         if server is not None:
             self.roster.observe(server, event)
         read = self.reads.pop((event.id, event.attempt), None)
-        if read is not None and event.status not in BROKEN:  # that says nothing of the origin
+        if read is not None and event.status not in (*BROKEN, api.Status.CANCELLED):  # they say nothing of it
             self.monitor.note(event.status is api.Status.OK and self.turn.now < read[1], read[0])
         if job is None:
             return
--- a/tests/test_begins.py
+++ b/tests/test_begins.py
@@ -189,3 +189,31 @@
             assert await caller.answer() == b"v"
 
     play(monkeypatch, test)
+
+
+def test_departures_during_a_slow_dial_to_the_origin_say_nothing_of_its_health(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each counted as a read that the origin failed, and a burst of them turned the throttle on."""
+
+    async def test() -> None:
+        async with router(lambda asked, line: MISS) as bench:
+            dial = Pool._dial
+
+            async def slow_origin(pool: Pool, connection: Connection) -> None:
+                if pool is bench.pools.pools["o"]:
+                    await asyncio.sleep(DIAL)
+                await dial(pool, connection)
+
+            monkeypatch.setattr(Pool, "_dial", slow_origin)
+            monitor = bench.driver.balancer.monitor
+            for n in range(40):
+                caller = await bench.caller()
+                caller.get(b"k%d" % n, b"i%d" % n)
+                await asyncio.sleep(0.05)
+                caller.writer.close()
+                await asyncio.sleep(0.01)
+                assert monitor.bad == 0 and monitor.throttle is None
+            assert not bench.origin.got and not bench.driver.held
+
+    play(monkeypatch, test)
