--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -371,3 +371,52 @@
                 assert len(bench.cache.lines) == 2
 
     play(monkeypatch, test)
+
+
+ENDLESS = {
+    "a line": (b"*3\r\n$1\r\nv\r\n+", b"x" * 500),
+    "arrays": (b"", b"*1\r\n" * 100),
+    "a string past its length": (b"*3\r\n$1\r\nv\r\n$3\r\n", b"hit" * 100),
+    "half of a value": (b"*3\r\n$60000\r\n", b"v"),
+}
+ENDLESS_FAR = {
+    "a body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 5000),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"400\r\n%b\r\n" % (b"x" * 1024)),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"x" * 500 + b"\r\n"),
+    "informational answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
+    "half of a body": (b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", b"x"),
+}
+
+
+@pytest.mark.parametrize(
+    ("head", "more", "far"),
+    [*((*one, False) for one in ENDLESS.values()), *((*one, True) for one in ENDLESS_FAR.values())],
+    ids=[*ENDLESS, *ENDLESS_FAR],
+)
+def test_an_answer_that_never_ends_is_bounded_in_time_and_memory(
+    monkeypatch: pytest.MonkeyPatch, head: bytes, more: bytes, far: bool
+) -> None:
+    async def test() -> None:
+        async def endless(line: asyncio.StreamWriter) -> None:
+            line.write(head)
+            while not line.transport.is_closing():
+                line.write(more)
+                await asyncio.sleep(0.01)
+
+        def begin(asked: object, line: asyncio.StreamWriter) -> None:
+            tasks.append(asyncio.get_running_loop().create_task(endless(line)))
+
+        tasks: list[asyncio.Task[None]] = []
+        near = (lambda asked, line: MISS) if far else begin
+        async with router(near, origin=begin if far else lambda asked, line: http(503)) as bench:
+            caller = await bench.caller()
+            begun = asyncio.get_running_loop().time()
+            caller.get(info=b"c=read,t=acme,d=3000")
+            answer = await caller.answer()
+            assert str(answer).startswith("BUSY") or str(answer) == "ERR failed"
+            assert asyncio.get_running_loop().time() - begun <= 3.0
+            await asyncio.sleep(1)
+            assert all(task.done() for task in tasks) and len(tasks) <= 4
+            assert not bench.driver.held and bench.driver.room.used == 0
+
+    play(monkeypatch, test)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -337,6 +337,8 @@
     await soon(lambda: cache.got)
     begun = time.monotonic()
     running.send_signal(signal.SIGTERM)
+    for other in (signal.SIGHUP, signal.SIGTERM):  # these change nothing: it goes on to its end
+        running.send_signal(other)
     late = Caller(*await asyncio.open_connection(address[0], int(address[1])))
     late.get(name=b"late")
     assert await late.answer() == b"v"
