--- a/applehub/lab/fleet/checks.py
+++ b/applehub/lab/fleet/checks.py
@@ -212,23 +212,13 @@
     """Each router that was up all the while is told of a change within the bound, unless a fault struck the
     way."""
     bound = int(plan.rules.stale_ms * MILLI)
-    told: dict[str, list[Record]] = defaultdict(list)
-    for one in history.of(Event.TOLD):
-        told[one.more["router"]].append(one)
-    last = history.records[-1].mono if history.records else 0
-    for change in history.of(Event.LISTED):
+    for change, router, heard in _changes(history):
         end = change.mono + bound
-        if end > last:
+        if not _lived(history, router, change.mono, end) or _struck(
+            history, change.mono - bound, end, router
+        ):
             continue
-        for router, heard in told.items():
-            lives = history.lives.get(router, [])
-            if not any(life.ready <= change.mono and life.end > end for life in lives):
-                continue
-            if _struck(history, change.mono - bound, end, router) or any(
-                change.mono <= one.mono <= end and one.more["version"] >= change.more["version"]
-                for one in heard
-            ):
-                continue
+        if not any(_tells(one, change, end) for one in heard):
             what = f"{router} was not told of version {change.more['version']} within {bound // MILLI} ms"
             yield Broken("stale", what, [change])
 
@@ -237,25 +227,36 @@
     """A change counts as told some seconds after it was there and the way to the router was free, whatever
     struck that way before: from then on the router knows of it."""
     bound = int(plan.rules.told_ms * MILLI)
+    for change, router, heard in _changes(history):
+        free = _free_from(history, change.mono, bound, router)
+        if not _lived(history, router, free, free + bound):
+            continue
+        # What was written while something struck the way was written to nobody.
+        came = [one for one in heard if not _struck(history, one.mono, one.mono, router)]
+        if not any(_tells(one, change, free + bound) for one in came):
+            what = f"{router} does not know version {change.more['version']} {bound // MILLI} ms later"
+            yield Broken("told", what, [change])
+
+
+def _changes(history: History) -> Iterator[tuple[Record, str, list[Record]]]:
+    """Each change of the list with each router that ever heard of one, and all that it was told."""
     heard: dict[str, list[Record]] = defaultdict(list)
     for one in history.of(Event.TOLD):
         heard[one.more["router"]].append(one)
-    last = history.records[-1].mono if history.records else 0
     for change in history.of(Event.LISTED):
         for router, records in heard.items():
-            free = _free_from(history, change.mono, bound, router)
-            lives = history.lives.get(router, [])
-            alive = any(life.ready <= free and life.end > free + bound for life in lives)
-            if not alive or free + bound > last:
-                continue
-            if not any(
-                change.mono <= one.mono <= free + bound
-                and one.more["version"] >= change.more["version"]
-                and not _struck(history, one.mono, one.mono, router)  # written to nobody
-                for one in records
-            ):
-                what = f"{router} does not know version {change.more['version']} {bound // MILLI} ms later"
-                yield Broken("told", what, [change])
+            yield change, router, records
+
+
+def _tells(one: Record, change: Record, by: int) -> bool:
+    """Whether a router is told of a change by it, in time."""
+    return change.mono <= one.mono <= by and one.more["version"] >= change.more["version"]
+
+
+def _lived(history: History, router: str, begin: int, end: int) -> bool:
+    """Whether one process of a router was up all the while, and the play went on past it."""
+    lives = history.lives.get(router, [])
+    return end <= history.records[-1].mono and any(one.ready <= begin and one.end > end for one in lives)
 
 
 def _free_from(history: History, moment: int, bound: int, router: str) -> int:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -143,15 +143,7 @@
 
     async with router(dialTimeout=50_000_000) as bench:
         caller = await bench.caller()
-        statuses: list[api.Status] = []
-        observe = bench.driver.balancer.handle
-
-        def handle(now: int, event: api.Event) -> list[api.Action]:
-            if isinstance(event, api.Outcome):
-                statuses.append(event.status)
-            return observe(now, event)
-
-        monkeypatch.setattr(bench.driver.balancer, "handle", handle)
+        statuses = watched(bench)
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", silence)
         caller.get(info=info)
         assert str(await caller.answer()).startswith("BUSY")
