--- a/applehub/lab/fleet/checks.py
+++ b/applehub/lab/fleet/checks.py
@@ -232,8 +232,10 @@
         if not _lived(history, router, free, free + bound):
             continue
         # What was written while something struck the way was written to nobody.
-        came = [one for one in heard if not _struck(history, one.mono, one.mono, router)]
-        if not any(_tells(one, change, free + bound) for one in came):
+        if not any(
+            _tells(one, change, free + bound) and not _struck(history, one.mono, one.mono, router)
+            for one in heard
+        ):
             what = f"{router} does not know version {change.more['version']} {bound // MILLI} ms later"
             yield Broken("told", what, [change])
 
