--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,16 +9,22 @@
 
 import hiredis
 import pytest
-from peers import MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
+from peers import LET_IN, MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
-from applehub.node import clients, resp
+from applehub.node import clients, pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import WAY_BACK, Held
 
 INFO = b"c=read,t=acme,d=9000"
 
 
+@pytest.fixture(autouse=True)
+def no_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    """These tests count connections; that they rest between two answers is tested in test_closes.py."""
+    monkeypatch.setattr(pool, "REST", 0.0)
+
+
 def once(wait: int = 9000) -> bytes:
     return b"c=once,t=acme,d=%d" % wait
 
@@ -632,7 +638,7 @@
         while not most or len(os.listdir("/proc/self/fd")) > before + 4:
             await asyncio.sleep(0)
             most = max(most, len(os.listdir("/proc/self/fd")) - before)
-        assert most <= 4 + 4 * clients.LET_IN
+        assert most <= 4 + 4 * LET_IN
         for one in rush:
             one.close()
 
