--- a/applehub/lab/cold.py
+++ b/applehub/lab/cold.py
@@ -2,10 +2,9 @@
 
 import itertools
 import os
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
-from typing import Any
 
 import click
 from rich.console import Console
@@ -37,20 +36,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Fullest:
-    """The fullest window of one play: requests of mean work, by how many routers."""
+    """The fullest window of one cold server, in requests of mean work."""
 
     sent: float
     budget: float
-    informed: float  # part of it that informed routers sent
-
-    @property
-    def bound(self) -> float:
-        return bound_of(self.budget)
 
     @property
     def part(self) -> float:
         """Of the bound; over 1 the server may be taken for pushed over."""
-        return self.sent / self.bound
+        return self.sent / bound_of(self.budget)
 
 
 def play(day: str, routers: int, seed: int, load: float) -> list[Fullest]:
@@ -66,23 +60,19 @@
 
 
 def _tasks(sizes: list[int], seeds: range, load: float) -> Iterator[tuple[str, int, int, float]]:
-    # The longest first, so that no core is left with one alone at the end.
-    return itertools.product(DAYS, sorted(sizes, reverse=True), seeds, [load])
+    return itertools.product(DAYS, sizes, seeds, [load])
 
 
 def _play(task: tuple[str, int, int, float]) -> tuple[str, int, list[Fullest]]:
     return task[0], task[1], play(*task)
 
 
-def table(
-    sizes: list[int], seeds: range, load: float, jobs: int, told: Callable[[], Any] = lambda: None
-) -> dict[tuple[str, int], list[Fullest]]:
+def table(sizes: list[int], seeds: range, load: float, jobs: int) -> dict[tuple[str, int], list[Fullest]]:
     """All fullest windows by day and number of routers."""
     found: dict[tuple[str, int], list[Fullest]] = {(day, size): [] for day in DAYS for size in sizes}
     with ProcessPoolExecutor(jobs) as pool:
         for day, size, windows in pool.map(_play, _tasks(sizes, seeds, load)):
             found[day, size] += windows
-            told()
     return found
 
 
--- a/applehub/lab/servers.py
+++ b/applehub/lab/servers.py
@@ -192,9 +192,8 @@
         self.events: deque[tuple[int, str]] = deque(maxlen=EVENTS_KEPT)
         self.budget: deque[tuple[int, int, bool]] = deque()  # what came to it cold: when, work, informed
         self.tip_multiple, self.tip_window = 0.0, 1
-        # Of the window in which it got most of its bound: sent, and budget, in requests of mean work; the
-        # part of it that informed routers sent.
-        self.fullest = (0.0, 0.0, 0.0)
+        # Of the window in which it got most of its bound: sent, and budget, in requests of mean work.
+        self.fullest = (0.0, 0.0)
 
     # Speed
 
@@ -290,7 +289,7 @@
         budget = self.tip_multiple * self.capacity * self.tip_window
         calls, most = sent / self.mean_work, budget / self.mean_work
         if calls / bound_of(most) > self.fullest[0] / bound_of(self.fullest[1]):
-            self.fullest = calls, most, self.informed_part
+            self.fullest = calls, most
         return calls > bound_of(most, FALLS)
 
     @property
