--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -80,8 +80,9 @@
     begin_by: float = math.inf  # monotonic ns from which on none of it may be written any more
 
     def info(self) -> bytes:
-        """The list of names and values as the peer is to read it now: `d` tells the milliseconds that are left
-        of the time that the router waits, counted from this call and at least one."""
+        """The list of names and values as the peer is to read it now.
+
+        Its `d` tells the milliseconds, at least one, that are left of the time that the router waits."""
         left = max(1, (self.until - time.monotonic_ns()) // 1_000_000)
         return self.call.info_for(left)
 
