--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -17,11 +17,12 @@
 from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
 from applehub.node.descriptors import Places, share_out
-from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
+from applehub.node.discovery import Directory, ListError, read_endpoint
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
 from applehub.node.pool import Endpoint, Pools
 from applehub.node.shared import Shared
+from applehub.node.watch import Watch
 from applehub.policy import Balancer
 from applehub.settings import (
     Ceilings,
--- a/applehub/lab/fleet/variants.py
+++ b/applehub/lab/fleet/variants.py
@@ -8,10 +8,13 @@
 
 from applehub import interface as api
 from applehub import settings
-from applehub.node import discovery, resp
-from applehub.node.discovery import Directory, Watch
+from applehub.node import resp
+from applehub.node.call_schedule import CallSchedule
+from applehub.node.discovery import Directory
 from applehub.node.driver import Driver, Held
 from applehub.node.figures import Answered
+from applehub.node.http1 import Answer
+from applehub.node.list_connection import ListConnection
 from applehub.node.shared import Shared, Told
 from applehub.peers.records import Body, Book
 from applehub.peers.records import Told as Record
@@ -109,14 +112,17 @@
 
 def goes_deaf() -> None:
     """Asks for the list once, and never again."""
-    right = Watch._call
+    right, asked = ListConnection.get, False
 
-    async def call(self: Watch) -> None:
-        if self.directory.rev > 0 and self.line is not None:
+    async def get(self: ListConnection, target: str) -> Answer:
+        nonlocal asked
+        if asked:
             await asyncio.Event().wait()
-        await right(self)
+        answer = await right(self, target)
+        asked = True
+        return answer
 
-    Watch._call = call  # type: ignore[method-assign]
+    ListConnection.get = get  # type: ignore[method-assign]
 
 
 def forgets_calls() -> None:
@@ -166,7 +172,11 @@
 
 def hears_late() -> None:
     """Leaves a silent watch alone for half a minute."""
-    discovery.HOLD, discovery.LATE = 1.0, 30.0
+
+    def due(self: CallSchedule, begun: float, in_turn: bool, spread: float) -> float:
+        return begun + 30.0
+
+    CallSchedule.watch_due = due  # type: ignore[method-assign]
 
 
 def crashes() -> None:
--- a/applehub/node/descriptors.py
+++ b/applehub/node/descriptors.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-OWN = 16  # streams, loop, signals, listener, two lines to discovery while it moves, kept files, peers
+OWN = 19  # streams, loop, signals, listener, five lines to discovery while it moves, kept files, peers
 CONSOLE = 19  # its listener, the callers that it keeps, and some that are on their way out
 CLOSING = (
     4  # turns of the loop that a client which is turned away stays for, and so how many each let in counts
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -1,31 +1,17 @@
-"""The watch on the list of servers: what it says goes to the pools, then to the decisions."""
+"""The list of servers as discovery tells it: what it says goes to the pools, then to the decisions."""
 
-import asyncio
 import logging
-import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import StrEnum
-from typing import Any, cast
-
-import orjson
+from typing import Any
 
 from applehub import interface as api
 from applehub.node.caches import CacheConnection
-from applehub.node.http1 import Answer, Http, HttpError
 from applehub.node.origin import OriginConnection
 from applehub.node.pool import Endpoint, Pools
 from applehub.settings import Json, Names
 
-# What discovery has counts as told 6 s later, however a call fared. All waits in a row stay within that: a
-# watch that falls silent (HOLD + LATE), then two calls that need not wait (ANSWER each), a pause between.
-HOLD = 2.5  # s that a watch may be held
-LATE = 0.7  # s past its hold after which a watch has fallen silent
-ANSWER = 1.3  # s for a connection and an answer that need not wait, at all addresses together
-DIAL = 0.5  # s of that for each address at the least, where there are several
-FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
-MOST_LIST = 8 << 20
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 log = logging.getLogger("applehub")
 
@@ -166,160 +152,3 @@
     def _drop(self, name: str) -> None:
         self.targets.pop(name, None)
         self.pools.remove(name)
-
-
-class _Line(asyncio.Protocol):
-    """A connection to discovery."""
-
-    def __init__(self, host: str) -> None:
-        self.http = Http(host, MOST_LIST)
-        self.transport: asyncio.Transport | None = None
-        self.answer: asyncio.Future[Answer] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        if self.answer is None or self.answer.done():
-            self.close()
-            return
-        try:
-            answer = self.http.receive(data)
-        except HttpError as problem:
-            self.answer.set_exception(problem)
-            return
-        if answer is not None:
-            self.answer.set_result(answer)
-
-    def eof_received(self) -> None:
-        if self.answer is not None and not self.answer.done():
-            self.data_received(b"")
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(ConnectionResetError("discovery closed the connection"))
-
-    async def get(self, target: str) -> Answer:
-        if self.transport is None:
-            raise ConnectionResetError("discovery closed the connection")
-        self.answer = asyncio.get_running_loop().create_future()
-        self.transport.writelines(self.http.request(b"GET", target.encode()))
-        answer = await self.answer
-        if not self.http.next_cycle():
-            self.close()
-        return answer
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-            self.transport = None
-
-
-class Phase(StrEnum):
-    """What the next call to discovery is for."""
-
-    WATCH = "watch"  # nothing is known to be missing: the call waits for news
-    CATCH_UP = "catch up"  # a call failed: what was missed is asked for without waiting
-
-
-class Watch:
-    """Asks discovery for the list and then for what changes, one call right after the other.
-
-    A watch that is silent past its hold is asked anew at once, since what it missed counts as told soon;
-    after any other failure a pause keeps all routers from calling at the same moment.
-
-    Where discovery has several addresses, each router begins at one that its seed draws, so that they spread,
-    and turns to the next at once when a call fails; only when all have failed is that a failure. The version
-    goes along: what changed meanwhile is told by the next address, and an older version changes nothing."""
-
-    def __init__(self, endpoints: list[Endpoint], directory: Directory, seed: int, must_ask: bool) -> None:
-        self.endpoints, self.directory, self.must_ask = endpoints, directory, must_ask
-        self.random = random.Random(seed)
-        self.at = self.random.randrange(len(endpoints)) if len(endpoints) > 1 else 0
-        self.line: _Line | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.unread = False  # the last answer could not be taken up: changes may be missing
-        self.phase = Phase.WATCH
-
-    def start(self) -> None:
-        """Begins to watch; while a watch is on, it goes on."""
-        if self.task is None or self.task.done():
-            self.task = asyncio.get_running_loop().create_task(self._run())
-
-    def move(self, endpoints: list[Endpoint]) -> None:
-        """Discovery is elsewhere from now on: a watch that is on begins anew there, at once."""
-        if endpoints == self.endpoints:
-            return
-        self.endpoints, self.at = endpoints, self.at % len(endpoints)
-        self.phase = Phase.CATCH_UP
-        if self.task is not None:
-            self.stop()
-            self.task = None
-            self.start()
-
-    def stop(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
-        if self.line is not None:
-            self.line.close()
-
-    async def _run(self) -> None:
-        pause, failed = FIRST_PAUSE, 0
-        while True:
-            silent = False
-            try:
-                await self._call()
-                pause, failed, self.phase = FIRST_PAUSE, 0, Phase.WATCH
-                continue
-            except TimeoutError:
-                log.warning("discovery did not answer in time: %s", self.phase)
-                silent = self.phase is Phase.WATCH
-            except (OSError, HttpError, ListError, orjson.JSONDecodeError) as problem:
-                log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
-            except Exception:
-                log.exception("an answer of discovery could not be taken up")
-            if self.line is not None:
-                self.line.close()
-            self.phase = Phase.CATCH_UP
-            self.at = (self.at + 1) % len(self.endpoints)
-            failed += not silent
-            if silent or failed % len(self.endpoints):
-                continue
-            if self.must_ask:
-                # Here the decisions say when to ask again; told once this watch has ended.
-                told = api.Members(api.ListKind.FAILED, [])
-                asyncio.get_running_loop().call_soon(self.directory.tell, told)
-                return
-            await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
-            pause = min(2 * pause, MOST_PAUSE)
-
-    async def _call(self) -> None:
-        """Asks for what changed since the list held. Guards discovery against whole lists for a large fleet,
-        which cost it work by the line: they are asked for only where there is none to change."""
-        target, patience = "/api/targets", self._patience
-        if self.directory.rev >= 0 and not self.unread:
-            hold = HOLD if self.phase is Phase.WATCH else 0.0
-            patience = HOLD + LATE if hold else patience
-            target += f"?from={self.directory.rev}&hold_ms={int(hold * 1000)}"
-        async with asyncio.timeout(patience):
-            line = await self._connected()
-            answer = await line.get(target)
-        if answer.status != 200:
-            raise HttpError(f"status {answer.status}")
-        self.unread = True
-        self.directory.take(orjson.loads(bytes(answer.body)))
-        self.unread = False
-
-    @property
-    def _patience(self) -> float:
-        """s for a call that need not wait, at one address."""
-        return max(ANSWER / len(self.endpoints), min(DIAL, ANSWER))
-
-    async def _connected(self) -> _Line:
-        if self.line is None or self.line.transport is None:
-            host, port = self.endpoints[self.at]
-            loop = asyncio.get_running_loop()
-            async with asyncio.timeout(self._patience):
-                _, self.line = await loop.create_connection(lambda: _Line(f"{host}:{port}"), host, port)
-        return self.line
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,9 +14,10 @@
 
 from applehub import interface as api
 from applehub.__main__ import room_for_values
-from applehub.node import discovery, pool
-from applehub.node.discovery import Directory, ListError, Watch
+from applehub.node import call_schedule, pool
+from applehub.node.discovery import Directory, ListError, read_endpoint
 from applehub.node.pool import Pools
+from applehub.node.watch import Watch
 from applehub.settings import read_names
 
 ROOT = Path(__file__).parent.parent
@@ -123,8 +124,8 @@
 async def test_the_watch_goes_on_and_asks_for_the_whole_list_only_where_changes_will_not_do(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(discovery, "HOLD", 0.1)
-    monkeypatch.setattr(discovery, "LATE", 0.3)
+    monkeypatch.setattr(call_schedule, "HOLD", 0.1)
+    monkeypatch.setattr(call_schedule, "LATE", 0.3)
     c0, c1 = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1")
     script: list[bytes | None] = [
         whole_list(7, c0),
@@ -169,7 +170,7 @@
     for web in webs.values():
         await web.start()
     one, told = directory()
-    endpoints = [discovery.read_endpoint(web.address) for web in webs.values()]
+    endpoints = [read_endpoint(web.address) for web in webs.values()]
     watch = Watch(endpoints, one, 1, must_ask=True)
     watch.at = 0
     watch.start()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -120,7 +120,7 @@
     assert running.clients.names.classes == {"once": 0, "browse": 1, "read": 2}
     now = running.driver.balancer.settings
     assert [one.effect for one in now.classes] == [api.Effect.UNSAFE] * 3
-    assert (now.max_attempts, running.pools.most, running.watch.endpoints[0][1]) == (2, 46, 2)
+    assert (now.max_attempts, running.pools.most, running.watch.endpoints[0][1]) == (2, 45, 2)
     # Servers that are known carry their kinds' indexes: those stay, and new ones come behind them.
     assert running.directory.names.kinds == {"std": 0, "origin": 1, "new": 2}
     assert running.directory.origin_kind == now.origin_kind == 1
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -10,11 +10,12 @@
 from peers import entry, http, info
 from virtual import play
 
-from applehub.node import discovery
-from applehub.node.discovery import Directory, Watch
+from applehub.node import call_schedule
+from applehub.node.discovery import Directory
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
 from applehub.node.pool import Pools
+from applehub.node.watch import Watch
 from applehub.policy import Balancer
 from applehub.settings import read_names, read_settings
 
@@ -256,8 +257,8 @@
         service = Service()
         told = Told(True, await service.start())
         await asyncio.sleep(60)
-        assert len(service.asked) <= 60 / discovery.HOLD + 1
-        assert set(service.holds) == {discovery.HOLD}
+        assert len(service.asked) <= 60 / call_schedule.HOLD + 1
+        assert set(service.holds) == {call_schedule.HOLD}
         told.watch.stop()
         service.server.close()
 
