--- a/applehub/node/call_schedule.py
+++ b/applehub/node/call_schedule.py
@@ -21,10 +21,11 @@
 FIRST_ANSWER = 2.0  # expected of a call that waits for its turn, before the first was answered
 MOST_ANSWER = 4.0  # the longest answer time that is waited for
 LEAST_ANSWER = 0.5  # the shortest after which a call counts as late
-LEAST_GAP = 1.2  # between two calls of which the first is unanswered, where the answer time is above it
+LEAST_GAP = 1.2  # between two calls of which the first is unanswered
 MOST_GAP = 2.0  # the same, at the most: discovery may have come back since the first
 FIRST_PAUSE = 0.25  # the longest after a first failed call; doubled by each one that follows
 MOST_PAUSE = 1.5  # the longest after any number of failed calls
+WHOLE = 1 - 1e-9  # of a token: what is refilled in parts may fall short of one by rounding
 
 
 class CallBudget:
@@ -40,7 +41,7 @@
     def wait(self, now: float) -> float:
         """The seconds until the next call may be made."""
         self._refill(now)
-        return max(0.0, (1 - self.tokens) / self.rate)
+        return 0.0 if self.tokens >= WHOLE else (1 - self.tokens) / self.rate
 
     def spend(self, now: float) -> None:
         """Counts a call that is made now."""
@@ -77,9 +78,9 @@
     def answered(self, now: float, took: float, hold: float, in_turn: bool) -> None:
         """Takes in that a call was answered.
 
-        took: the seconds from its begin to its answer. hold: those for which discovery might hold it. in_turn:
-        it had to wait for a turn, since it did not go on with a watch. A watch that is answered before its
-        hold is over brings a change, and how long that took to come is not known.
+        took: the seconds from its begin to its answer. hold: those for which discovery might hold it.
+        in_turn: it had to wait for a turn, since it did not go on with a watch. A watch that is answered
+        before its hold is over brings a change, and how long that took to come is not known.
         """
         self.deadline = now + DEADLINE
         if took >= hold:
@@ -95,11 +96,19 @@
         return begun + min(self.hold + late * spread, self._gap_for_deadline())
 
     def call_due(self, begun: float, spread: float) -> float:
-        """The same for a call that need not wait, or a watch whose connection is not up yet."""
+        """The same for a call that need not wait, or a watch whose connection is not up yet.
+
+        Each further call takes a turn from other routers, so it is made for the case that a connection is lost
+        alone, not because the answer takes longer than usual: a queue is long just when all call at once.
+        """
         left = (self.deadline or begun) - begun
-        share = left / 2 if left > 0 else MOST_GAP  # so that a second call has as long as the first
-        gap = min(self.in_turn.timeout, max(share, LEAST_GAP), MOST_GAP, self._gap_for_deadline())
-        return begun + gap / spread
+        share = left / 2 if left >= 2 * LEAST_GAP else MOST_GAP  # the second call has as long as the first
+        gap = min(max(share, self.in_turn.timeout), MOST_GAP, self._gap_for_deadline())
+        return begun + max(gap / spread, LEAST_GAP)
+
+    def refused_due(self, now: float, spread: float) -> float:
+        """When a call is made again that failed while another one is out, which may be answered yet."""
+        return now + MOST_GAP / spread
 
     def _gap_for_deadline(self) -> float:
         """The longest gap at which some call that begins after a change is answered before its deadline."""
--- a/applehub/node/watch.py
+++ b/applehub/node/watch.py
@@ -16,7 +16,7 @@
 from applehub.node.pool import Endpoint
 
 MOST_CALLS = 4  # out at once, each on a connection of its own
-BURST = 5  # calls in turn at one address that may follow at once; one more for each further address
+BURST = 8  # calls in turn at one address that may follow at once; one more for each further address
 CALLS_A_SECOND = 1.0  # in turn, after that
 FAILURES = (OSError, HttpError, ListError, orjson.JSONDecodeError)
 log = logging.getLogger("applehub")
@@ -218,6 +218,8 @@
         self.at = (self.at + 1) % len(self.endpoints)
         if self.failed % len(self.endpoints):
             self.due = now
+        elif any(not older.hold for older in self.calls):
+            self.due = self.schedule.refused_due(now, call.spread)
         elif self.calls or not self.must_ask:
             self.due = now + self.schedule.pause(self.failed // len(self.endpoints))
         else:
