--- a/applehub/node/call_schedule.py
+++ b/applehub/node/call_schedule.py
@@ -98,8 +98,8 @@
     def call_due(self, begun: float, spread: float) -> float:
         """The same for a call that need not wait, or a watch whose connection is not up yet.
 
-        Each further call takes a turn from other routers, so it is made for the case that a connection is lost
-        alone, not because the answer takes longer than usual: a queue is long just when all call at once.
+        Each further call takes a turn from other routers, so it is made only for the case that a connection
+        is lost, not because the answer takes longer than usual: a queue is long when all call at once.
         """
         left = (self.deadline or begun) - begun
         share = left / 2 if left >= 2 * LEAST_GAP else MOST_GAP  # the second call has as long as the first
