--- a/applehub/node/call_schedule.py
+++ b/applehub/node/call_schedule.py
@@ -20,9 +20,10 @@
 MARGIN = 0.3  # of the deadline that is kept for taking the list up
 FIRST_ANSWER = 2.0  # expected of a call that waits for its turn, before the first was answered
 MOST_ANSWER = 4.0  # the longest answer time that is waited for
-LEAST_ANSWER = 0.5  # the shortest after which a call counts as late
-LEAST_GAP = 1.2  # between two calls of which the first is unanswered
-MOST_GAP = 2.0  # the same, at the most: discovery may have come back since the first
+LEAST_ANSWER = 0.5  # the shortest that is counted on; a last call is made so long before a deadline
+LEAST_GAP = 1.0  # between two calls of which the first is unanswered
+MOST_GAP = 2.4  # the same past a deadline: discovery may have come back since the first
+CROWDED_GAP = 3.0  # the same after a refusal: the first stands in a queue that is known to be long
 FIRST_PAUSE = 0.25  # the longest after a first failed call; doubled by each one that follows
 MOST_PAUSE = 1.5  # the longest after any number of failed calls
 WHOLE = 1 - 1e-9  # of a token: what is refilled in parts may fall short of one by rounding
@@ -56,22 +57,24 @@
 class CallSchedule:
     """The times between the calls of one watch."""
 
-    def __init__(self, source: random.Random) -> None:
-        self.random, self.hold = source, HOLD
+    def __init__(self, source: random.Random, addresses: int = 1) -> None:
+        self.random, self.hold, self.addresses = source, HOLD, addresses
         self.deadline: float | None = None  # when what changed since the last answer counts as told
         self._learn_anew()
 
     def _learn_anew(self) -> None:
         self.in_turn = AnswerTime(FIRST_ANSWER, LEAST_ANSWER, MOST_ANSWER)
         self.watch = AnswerTime(LATE, LATE, MOST_ANSWER)
+        self.crowded = False  # a call was refused since the last answer
 
     def begin(self, now: float) -> None:
         """Notes that the first call is made; changes nothing later on."""
         if self.deadline is None:
             self.deadline = now + DEADLINE
 
-    def moved(self, now: float) -> None:
+    def moved(self, now: float, addresses: int) -> None:
         """Discovery is elsewhere from now on: what was learnt of its answer times says nothing of the new."""
+        self.addresses = addresses
         self.deadline = now + RELOAD_DEADLINE
         self._learn_anew()
 
@@ -82,7 +85,7 @@
         in_turn: it had to wait for a turn, since it did not go on with a watch. A watch that is answered
         before its hold is over brings a change, and how long that took to come is not known.
         """
-        self.deadline = now + DEADLINE
+        self.deadline, self.crowded = now + DEADLINE, False
         if took >= hold:
             (self.in_turn if in_turn else self.watch).observe(took - hold)
 
@@ -92,23 +95,33 @@
 
     def watch_due(self, begun: float, in_turn: bool, spread: float) -> float:
         """When a watch that was opened at a time and has not been answered is joined by another call."""
-        late = self.in_turn.timeout if in_turn else self.watch.timeout
-        return begun + min(self.hold + late * spread, self._gap_for_deadline())
+        if in_turn:
+            return begun + min(
+                self.hold + max(self.in_turn.timeout, FIRST_ANSWER), DEADLINE - MARGIN - LEAST_GAP
+            )
+        return begun + min(self.hold + self.watch.timeout * spread, self._gap_for_deadline())
 
     def call_due(self, begun: float, spread: float) -> float:
         """The same for a call that need not wait, or a watch whose connection is not up yet.
 
-        Each further call takes a turn from other routers, so it is made only for the case that a connection
-        is lost, not because the answer takes longer than usual: a queue is long when all call at once.
+        A further call takes a turn from other routers, and discovery may drop the first for it. So it is made
+        only for the case that a connection is lost, as late as the deadline allows; with several addresses it
+        goes to another service and is made sooner.
         """
         left = (self.deadline or begun) - begun
-        share = left / 2 if left >= 2 * LEAST_GAP else MOST_GAP  # the second call has as long as the first
-        gap = min(max(share, self.in_turn.timeout), MOST_GAP, self._gap_for_deadline())
-        return begun + max(gap / spread, LEAST_GAP)
-
-    def refused_due(self, now: float, spread: float) -> float:
-        """When a call is made again that failed while another one is out, which may be answered yet."""
-        return now + MOST_GAP / spread
+        if self.addresses > 1:
+            gap = LEAST_GAP / spread
+        elif self.crowded:
+            gap = CROWDED_GAP / spread
+        elif left >= LEAST_GAP:
+            gap = max(left - LEAST_ANSWER, LEAST_GAP)
+        else:
+            gap = MOST_GAP / spread
+        return begun + min(gap, CROWDED_GAP, self._gap_for_deadline())
+
+    def refused(self) -> None:
+        """Takes in that a call was refused: discovery is there, and has more calls than it can handle."""
+        self.crowded = True
 
     def _gap_for_deadline(self) -> float:
         """The longest gap at which some call that begins after a change is answered before its deadline."""
--- a/applehub/node/watch.py
+++ b/applehub/node/watch.py
@@ -22,6 +22,10 @@
 log = logging.getLogger("applehub")
 
 
+class RefusedError(HttpError):
+    """Discovery is there and does not take the call."""
+
+
 class Phase(StrEnum):
     """What the next call to discovery is for."""
 
@@ -50,6 +54,8 @@
             loop = asyncio.get_running_loop()
             _, self.line = await loop.create_connection(lambda: ListConnection(f"{host}:{port}"), host, port)
         answer = await self.line.get(self.target)
+        if answer.status == 503:
+            raise RefusedError("status 503")
         if answer.status != 200:
             raise HttpError(f"status {answer.status}")
         return answer
@@ -77,7 +83,7 @@
         self.endpoints, self.directory, self.must_ask = endpoints, directory, must_ask
         self.random = random.Random(seed)
         self.at = self.random.randrange(len(endpoints)) if len(endpoints) > 1 else 0
-        self.schedule = CallSchedule(self.random)
+        self.schedule = CallSchedule(self.random, len(endpoints))
         self.budget = CallBudget(BURST + len(endpoints) - 1, CALLS_A_SECOND)
         self.calls: list[Call] = []  # out, the oldest first
         self.due: float | None = None  # when the next call begins; none: the decisions say when
@@ -97,7 +103,7 @@
             return
         self.endpoints, self.at = endpoints, self.at % len(endpoints)
         self.budget = CallBudget(BURST + len(endpoints) - 1, CALLS_A_SECOND)
-        self.schedule.moved(asyncio.get_running_loop().time())
+        self.schedule.moved(asyncio.get_running_loop().time(), len(endpoints))
         self.phase = Phase.CATCH_UP
         if self.task is not None:
             self.stop()
@@ -183,6 +189,8 @@
             self._take(call.task.result(), call.whole)
         except FAILURES as problem:
             log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
+            if isinstance(problem, RefusedError):
+                self.schedule.refused()
             self._failed(call, position, now)
         except Exception:
             log.exception("an answer of discovery could not be taken up")
@@ -219,7 +227,7 @@
         if self.failed % len(self.endpoints):
             self.due = now
         elif any(not older.hold for older in self.calls):
-            self.due = self.schedule.refused_due(now, call.spread)
+            self.due = self.schedule.call_due(now, call.spread)
         elif self.calls or not self.must_ask:
             self.due = now + self.schedule.pause(self.failed // len(self.endpoints))
         else:
