Move the router's wiring and its configuration out of __main__

`applehub/__main__.py` (384 lines) held the reading of the configuration, the class Router and the program at once. It now sets up logging, reads the configuration and runs (48 lines).

- node/configuration.py: Configuration, read_configuration and the readers of single keys; limits and the inherited descriptor have functions of their own.
- node/router.py: Router; its constructor, start and reload are split into named steps; what is persisted stands in two attributes in place of a tuple; constants say what they bound.
- node/room.py: bytes_for_values (was room_for_values); node/shared.py: shared_folder.

Messages, log lines, exit codes, the order of checks and the lazy imports are unchanged. Tests change in imports and in the names of renamed attributes alone.

--- a/applehub/node/shared.py
+++ b/applehub/node/shared.py
@@ -24,6 +24,16 @@
     at: int
 
 
+def shared_folder() -> str:
+    """$TMPDIR, which the processes of one router share; without it a new folder that nothing else uses."""
+    folder = os.environ.get("TMPDIR")
+    if folder:
+        return folder
+    import tempfile  # loaded only here: it costs 8 ms, and deployments set $TMPDIR
+
+    return tempfile.mkdtemp(prefix="applehub-")
+
+
 class Shared:
     """A file of what operators said of cache servers, and a locked byte for each process that runs."""
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,9 +9,9 @@
 import pytest
 from peers import MISS, PATIENCE, info, router, soon
 
-from applehub.__main__ import ConfigurationError, read_configuration
 from applehub.node import console
 from applehub.node.clients import inherited_listener
+from applehub.node.configuration import ConfigurationError, read_configuration
 from applehub.node.console import CallError, Console
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,10 +13,10 @@
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
 
 from applehub import interface as api
-from applehub.__main__ import room_for_values
 from applehub.node import discovery, pool
 from applehub.node.discovery import Directory, ListError, Watch
 from applehub.node.pool import Pools
+from applehub.node.room import bytes_for_values
 from applehub.settings import read_names
 
 ROOT = Path(__file__).parent.parent
@@ -284,7 +284,7 @@
 
 def test_values_that_wait_leave_the_program_its_memory() -> None:
     """The terms go down to 32 MB, where the bounds for the largest router were over the limit alone."""
-    assert [room_for_values(memory) >> 20 for memory in (32, 64, 192)] == [3, 19, 83]
+    assert [bytes_for_values(memory) >> 20 for memory in (32, 64, 192)] == [3, 19, 83]
 
 
 async def test_on_sighup_the_program_asks_discovery_where_it_is_now(tmp_path: Path) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,8 +11,8 @@
 from support import settings as router_settings
 
 from applehub import interface as api
-from applehub.__main__ import ConfigurationError, read_peers_of
 from applehub.lab.gossip import Gossip, Talk
+from applehub.node.configuration import ConfigurationError, read_peers_of
 from applehub.node.discovery import read_endpoint
 from applehub.node.peering import read_peers
 from applehub.peers.codec import MOST, DatagramError, Kind, Packer, Peer, Standing, decode, encode_told
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -10,8 +10,9 @@
 from peers import entry, hit, info, router, soon
 from support import SECOND, Router, settings
 
-from applehub import __main__ as program
 from applehub import interface as api
+from applehub.node import router as node
+from applehub.node.configuration import read_configuration
 
 Json = dict[str, Any]
 
@@ -30,9 +31,9 @@
     }
 
 
-def wired(path: Path) -> program.Router:
+def wired(path: Path) -> node.Router:
     path.write_text(json.dumps(told()))
-    return program.Router(program.read_configuration(str(path)), str(path))
+    return node.Router(read_configuration(str(path)), str(path))
 
 
 def without(*keys: Any) -> Callable[[Json], None]:
@@ -81,13 +82,23 @@
 async def test_nothing_is_taken_from_a_broken_file(tmp_path: Path, change: Callable[[Json], None]) -> None:
     path = tmp_path / "config.json"
     running = wired(path)
-    before = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoints)
+    before = (
+        running.configuration,
+        running.driver.balancer.settings,
+        running.clients.names,
+        running.watch.endpoints,
+    )
     broken = copy.deepcopy(told(discovery="127.0.0.1:2"))
     broken["settings"]["classes"][0]["aim"] //= 2
     change(broken)
     path.write_text(json.dumps(broken))
     running.reload()
-    now = (running.told, running.driver.balancer.settings, running.clients.names, running.watch.endpoints)
+    now = (
+        running.configuration,
+        running.driver.balancer.settings,
+        running.clients.names,
+        running.watch.endpoints,
+    )
     assert all(one is other for one, other in zip(before, now, strict=True))
     assert (running.figures.config_applied, running.figures.config_rejected) == (0, 1)
 
@@ -96,12 +107,12 @@
 async def test_nothing_is_taken_from_half_a_file(tmp_path: Path, text: str) -> None:
     path = tmp_path / "config.json"
     running = wired(path)
-    before = running.told
+    before = running.configuration
     path.write_text(text)
     running.reload()
     path.unlink()
     running.reload()
-    assert running.told is before and running.figures.config_rejected == 2
+    assert running.configuration is before and running.figures.config_rejected == 2
 
 
 async def test_classes_appear_vanish_and_move_by_name(tmp_path: Path) -> None:
@@ -189,9 +200,9 @@
 async def test_two_processes_share_what_one_may_use(tmp_path: Path) -> None:
     running = wired(tmp_path / "config.json")
     alone = (running.pools.most, running.driver.room.most)
-    running._budget(2)
+    running._apply_limits(2)
     assert running.pools.most == alone[0] // 2 and running.driver.balancer.roster.copies == 2
     # Both programs' own memory goes off before the rest is shared.
     assert running.driver.room.most * 2 < alone[1]
-    running._budget(1)
+    running._apply_limits(1)
     assert (running.pools.most, running.driver.room.most) == alone
