--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -27,6 +27,7 @@
 from applehub.lab.policies import BLIND
 from applehub.lab.problems import guarded
 from applehub.lab.runner import Plan, ResultsError, make_plan, read_results, run_plan
+from applehub.lab.sizes import FleetSize, counts, fleet_sizes
 from applehub.lab.spec import SpecError
 from applehub.settings import Json
 
@@ -293,25 +294,27 @@
 
 @main.command()
 @click.option("--seconds", type=click.FloatRange(1, 600), default=10.0, help="Simulated, for each size.")
-@click.option("--sizes", default="5x15,20x60,50x100,200x200", help="Routers x servers.")
+@click.option(
+    "--sizes",
+    type=fleet_sizes("5x15,20x60"),
+    default="5x15,20x60,50x100,200x200",
+    help="Routers x servers.",
+)
 @guarded
-def speed(seconds: float, sizes: str) -> None:
+def speed(seconds: float, sizes: tuple[FleetSize, ...]) -> None:
     """Measures how many requests a second of this machine's time are played, by fleet size, on one core."""
     table = Table(
         "routers x servers", "requests", "processor s", "requests/s", "µs an event", "simulated/real"
     )
-    for size in sizes.split(","):
-        try:
-            routers, servers = map(int, size.split("x"))
-        except ValueError:
-            raise SpecError(f"--sizes: expected sizes as in 5x15,20x60, got {size!r}") from None
-        raw = {"name": "speed", "seconds": seconds, "topology": {"routers": routers, "servers": servers}}
+    for size in sizes:
+        topology = {"routers": size.routers, "servers": size.servers}
+        raw = {"name": "speed", "seconds": seconds, "topology": topology}
         world = stage(make_plan("--sizes", raw).points[0][1], "router", 1)
         began = time.process_time()
         result = world.play()
         took = time.process_time() - began
         table.add_row(
-            size, str(result["requests"]), f"{took:.2f}", f"{result['requests'] / took:,.0f}",
+            str(size), str(result["requests"]), f"{took:.2f}", f"{result['requests'] / took:,.0f}",
             f"{took / result['events'] * 1e6:.1f}", f"{seconds / took:.1f}",
         )  # fmt: skip
     _print(table)
@@ -319,16 +322,14 @@
 
 @main.command("cost")
 @click.option("--requests", type=click.IntRange(100, 1_000_000), default=20_000, help="Played for each size.")
-@click.option("--sizes", default="15,60,200,1000", help="Numbers of servers.")
+@click.option(
+    "--sizes", type=counts(1, 100_000, "15,60"), default="15,60,200,1000", help="Numbers of servers."
+)
 @guarded
-def module_cost(requests: int, sizes: str) -> None:
+def module_cost(requests: int, sizes: tuple[int, ...]) -> None:
     """Measures the module's processor time for a request with its outcome, by fleet size."""
-    try:
-        numbers = [int(size) for size in sizes.split(",")]
-    except ValueError:
-        raise SpecError(f"--sizes: expected numbers as in 15,60, got {sizes!r}") from None
     result = Table("servers", "requests", "µs a request")
-    for row in cost.table(requests, numbers):
+    for row in cost.table(requests, sizes):
         result.add_row(str(row.servers), str(row.requests), f"{row.microseconds:.1f}")
     _print(result)
 
--- a/applehub/lab/cold.py
+++ b/applehub/lab/cold.py
@@ -2,7 +2,7 @@
 
 import itertools
 import os
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
@@ -13,7 +13,8 @@
 from applehub.lab.play import stage
 from applehub.lab.problems import guarded
 from applehub.lab.servers import bound_of
-from applehub.lab.spec import SpecError, read_raw
+from applehub.lab.sizes import counts
+from applehub.lab.spec import read_raw
 from applehub.settings import Json
 
 JOIN = {"kind": "join", "at_s": 8, "for_s": 7, "part": 0.6}
@@ -59,7 +60,7 @@
     return [Fullest(*server.fullest) for server in world.all_servers if server.fullest[1] > 0]
 
 
-def _tasks(sizes: list[int], seeds: range, load: float) -> Iterator[tuple[str, int, int, float]]:
+def _tasks(sizes: Sequence[int], seeds: range, load: float) -> Iterator[tuple[str, int, int, float]]:
     return itertools.product(DAYS, sizes, seeds, [load])
 
 
@@ -67,7 +68,7 @@
     return task[0], task[1], play(*task)
 
 
-def table(sizes: list[int], seeds: range, load: float, jobs: int) -> dict[tuple[str, int], list[Fullest]]:
+def table(sizes: Sequence[int], seeds: range, load: float, jobs: int) -> dict[tuple[str, int], list[Fullest]]:
     """All fullest windows by day and number of routers."""
     found: dict[tuple[str, int], list[Fullest]] = {(day, size): [] for day in DAYS for size in sizes}
     with ProcessPoolExecutor(jobs) as pool:
@@ -77,22 +78,19 @@
 
 
 @click.command("cold")
-@click.option("--sizes", default="5,20,30,200", show_default=True, help="Numbers of routers.")
+@click.option(
+    "--sizes", type=counts(1, 400, "5,30"), default="5,20,30,200", show_default=True,
+    help="Numbers of routers.",
+)  # fmt: skip
 @click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True)
 @click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
 @click.option("--load", type=click.FloatRange(0.05, 1.5), default=0.6, show_default=True)
 @click.option("--jobs", type=click.IntRange(1), default=None, help="Processes at once [all cores].")
 @guarded
-def cold(sizes: str, seeds: int, first: int, load: float, jobs: int | None) -> None:
+def cold(sizes: tuple[int, ...], seeds: int, first: int, load: float, jobs: int | None) -> None:
     """Measures what cold servers are sent by all routers in the rule's window, beside N + 2 x root of N + 2:
     of each server its fullest window. Code 1 where one was over."""
-    try:
-        numbers = [int(one) for one in sizes.split(",")]
-    except ValueError:
-        numbers = []
-    if not numbers or min(numbers) < 1 or max(numbers) > 400:
-        raise SpecError(f"--sizes: expected numbers from 1 to 400, as in 5,30, got {sizes!r}")
-    found = table(numbers, range(first, first + seeds), load, jobs or os.cpu_count() or 1)
+    found = table(sizes, range(first, first + seeds), load, jobs or os.cpu_count() or 1)
     shown = Table(
         "day", "routers", "cold servers", "fullest / bound, median", "p99", "most", "sent, N", "over"
     )
--- a/applehub/lab/cost.py
+++ b/applehub/lab/cost.py
@@ -1,7 +1,7 @@
 """What a decision costs: processor time of the module for a request and its outcome, by fleet size."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from applehub import interface as api
@@ -46,7 +46,7 @@
     return Cost(servers, count, (time.process_time_ns() - began) / count / 1000)
 
 
-def table(count: int, sizes: list[int]) -> Iterator[Cost]:
+def table(count: int, sizes: Sequence[int]) -> Iterator[Cost]:
     """A row for each number of servers, after a round that warms the process up."""
     measure(sizes[0], count // 10 + 1)
     for servers in sizes:
--- a/applehub/lab/gossip_command.py
+++ b/applehub/lab/gossip_command.py
@@ -10,11 +10,14 @@
 
 from applehub.lab.gossip import Gossip, Talk, figures
 from applehub.lab.problems import guarded
+from applehub.lab.sizes import counts
 from applehub.settings import Json
 
 
 @click.command("peers")
-@click.option("--sizes", default="5,50", show_default=True, help="Numbers of routers.")
+@click.option(
+    "--sizes", type=counts(2, 5000, "5,50"), default="5,50", show_default=True, help="Numbers of routers."
+)
 @click.option("--loss", type=click.FloatRange(0, 0.9), default=0.0, show_default=True, help="Of datagrams.")
 @click.option(
     "--period", type=click.FloatRange(5, 5000), default=50, show_default=True, help="Of probes, ms."
@@ -26,24 +29,25 @@
 @click.option("--json", "as_json", is_flag=True, help="As JSON lines.")
 @guarded
 def peers(
-    sizes: str, loss: float, period: float, seconds: float, cut: float, kill: float, seed: int, as_json: bool
+    sizes: tuple[int, ...],
+    loss: float,
+    period: float,
+    seconds: float,
+    cut: float,
+    kill: float,
+    seed: int,
+    as_json: bool,
 ) -> None:
     """Measures what routers share, on a simulated network: how soon all know of all, how soon a verdict is
     round, how old what counts is, what it costs a router, how soon a cut or a mass kill is over."""
-    try:
-        counts = [int(one) for one in sizes.split(",")]
-    except ValueError:
-        counts = []
-    if not counts or min(counts) < 2 or max(counts) > 5000:
-        raise click.BadParameter("expected numbers from 2 to 5000, such as 5,50", param_hint="--sizes")
     played = []
-    for count in counts:
+    for count in sizes:
         plan = Gossip(count, period, loss, seconds=seconds, cut_s=cut, kill=kill)
         played.append(figures(plan, Talk(plan, seed).play()))
         if as_json:
             click.echo(orjson.dumps(played[-1]).decode())
     if not as_json:
-        table = Table("", *(f"{count} routers" for count in counts))
+        table = Table("", *(f"{count} routers" for count in sizes))
         for name, read in ROWS.items():
             told = [read(one) for one in played]
             table.add_row(name, *("-" if one in (None, -1) else _worded(one) for one in told))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -101,6 +101,32 @@
     assert told in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("speed", "--sizes", "5x15,5*3"), "--sizes: expected sizes as in 5x15,20x60, got '5x15,5*3'"),
+        (("speed", "--sizes", "5x15x2"), "--sizes: expected sizes as in 5x15,20x60, got '5x15x2'"),
+        (("cost", "--sizes", "many"), "--sizes: expected numbers from 1 to 100000, as in 15,60, got 'many'"),
+        (("cost", "--sizes", "0"), "--sizes: expected numbers from 1 to 100000, as in 15,60, got '0'"),
+        (("cold", "--sizes", "5,401"), "--sizes: expected numbers from 1 to 400, as in 5,30, got '5,401'"),
+        (("cold", "--sizes", "5,"), "--sizes: expected numbers from 1 to 400, as in 5,30, got '5,'"),
+        (("peers", "--sizes", "1"), "--sizes: expected numbers from 2 to 5000, as in 5,50, got '1'"),
+    ],
+)
+def test_sizes_that_make_no_sense_are_told_with_an_example(words: tuple[str, ...], told: str) -> None:
+    code, output = command(*words)
+    assert code == 2 and told in output
+
+
+def test_sizes_are_played_in_the_order_given() -> None:
+    code, output = command("cost", "--requests", "100", "--sizes", "7,3")
+    assert code == 0 and output.index(" 7 ") < output.index(" 3 ")
+    code, output = command("speed", "--seconds", "1", "--sizes", "2x4,1x3")
+    assert code == 0 and output.index("2x4") < output.index("1x3")
+    code, output = command("peers", "--seconds", "1", "--sizes", "3,2")
+    assert code == 0 and output.index("3 routers") < output.index("2 routers")
+
+
 def test_a_missing_or_broken_file_ends_with_code_2(tmp_path: Path) -> None:
     broken = tmp_path / "broken.toml"
     broken.write_text("name = ")
