Kill no router where kill_routers names a part of 0

Cause: the lab's kill_routers took at least one router whatever its part, where every other fault with a part strikes none for 0.

--- a/applehub/lab/faults.py
+++ b/applehub/lab/faults.py
@@ -1,8 +1,8 @@
 """What goes wrong, and when. Faults of the workload itself (bursts, hot keys) are drawn with it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
-from typing import Any
+from typing import Any, TypeVar
 
 from applehub import interface as api
 from applehub.lab import spec
@@ -12,11 +12,24 @@
 from applehub.lab.streams import Draws
 from applehub.lab.world import World
 
+Member = TypeVar("Member")
+
 
 def _ns(seconds: float) -> int:
     return int(seconds * SECOND)
 
 
+def _sample(population: Iterable[Member], part: float, draws: Draws) -> Iterator[Member]:
+    """Draws a part (0 to 1) of a population without replacement: none for 0, otherwise at least one.
+
+    Each member is drawn as it is asked for, so that the caller may draw in between.
+    """
+    left = list(population)
+    count = min(len(left), max(1, round(part * len(left)))) if part else 0
+    for _ in range(count):
+        yield left.pop(draws.below(len(left)))
+
+
 class Faults:
     """Plans all faults of a play."""
 
@@ -45,10 +58,8 @@
         self.clock.at(_ns(at + length), lambda _: switch(False))
 
     def _some(self, part: float, draws: Draws) -> list[CacheServer]:
-        """A drawn part of the servers that the day begins with, at least one where it is no nothing."""
-        servers = list(self.world.servers)
-        count = min(len(servers), max(1, round(part * len(servers)))) if part else 0
-        return [servers.pop(draws.below(len(servers))) for _ in range(count)]
+        """A drawn part of the servers that the day begins with."""
+        return list(_sample(self.world.servers, part, draws))
 
     # Servers
 
@@ -154,9 +165,7 @@
     # Routers
 
     def _kills(self, fault: spec.KillRouters, draws: Draws) -> None:
-        routers = list(self.world.routers)
-        for _ in range(min(len(routers), max(1, round(fault.part * len(routers))))):
-            router = routers.pop(draws.below(len(routers)))
+        for router in _sample(self.world.routers, fault.part, draws):
             down = fault.down_s * draws.between(0.5, 1.5) + self.world.day.routers.start_ms / 1000
             self.clock.at(_ns(fault.at_s), self._kill, router)
             self.clock.at(_ns(fault.at_s + down), self._start_router, router)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -101,6 +101,15 @@
     assert told in str(caught.value)
 
 
+@pytest.mark.parametrize(("part", "killed"), [(0.0, 0), (0.1, 1), (0.5, 2), (1.0, 4)])
+def test_a_part_of_nothing_kills_no_router_and_any_other_at_least_one(part: float, killed: int) -> None:
+    topology = {**RAW["topology"], "routers": 4}
+    fault = {"kind": "kill_routers", "at_s": 1, "part": part}
+    staged = stage(day_of(topology=topology, faults=[fault]), "router", 1)
+    staged.play()
+    assert sum(router.life > 1 for router in staged.routers) == killed  # an end and a start count one each
+
+
 @pytest.mark.parametrize(
     ("words", "told"),
     [
