Rename keptlist to persisted_list

Need: "kept" is no term of the field, and the module's doc comments named no units or errors. KeptList is now PersistedList, its take update; PAUSE is SAVE_INTERVAL, FORM FORMAT_VERSION. The file on disk, its form and the log lines are unchanged.

--- a/applehub/node/keptlist.py
+++ b/applehub/node/persisted_list.py
@@ -1,4 +1,8 @@
-"""The list of servers last known, kept on disk so that a start is not older than the crash before it."""
+"""Persists the list of servers, so that a restarted process knows the servers that its predecessor knew.
+
+The value is JSON in the form of the list service's answers: `rev`, the version of the list, and `targets`,
+with every key as it was received.
+"""
 
 import asyncio
 import logging
@@ -8,33 +12,38 @@
 from applehub.node.saver import Saver
 from applehub.settings import Json
 
-FORM = 1  # the value is JSON as discovery words it: rev, and targets with every key as it came
-PAUSE = 1.0  # s between two saves: a fleet that rolls changes its list many times a second
+FORMAT_VERSION = 1
+SAVE_INTERVAL = 1.0  # s between two saves: a fleet that rolls changes its list many times a second
 log = logging.getLogger("applehub")
 
 
-class KeptList:
-    """Gathers what discovery tells, and saves it beside the event loop."""
+class PersistedList:
+    """The list of servers as last received, saved outside the event loop's thread."""
 
     def __init__(self, folder: str) -> None:
-        """Raises OSError where the folder can't be made."""
-        self.saver = Saver(folder, "list", FORM, "the list")
+        """Raises OSError if the folder cannot be created."""
+        self.saver = Saver(folder, "list", FORMAT_VERSION, "the list")
         self.rev = 0
         self.targets: dict[str, Json] = {}
         self.saved = True
         self.saving: asyncio.Task[None] | None = None
 
     def load(self, known: Json) -> Json:
-        """The list to start from: the one that was kept, if it is newer than what the platform hands over.
-        The version stays the platform's, so that discovery tells again whatever came after that."""
+        """The list to start from: the persisted one if its version is newer than that of `known`.
+
+        known: the list from the configuration. The result carries the version of `known` in any case, so that
+        the list service sends again whatever changed after it. A list in a wrong form is returned as it is,
+        for the directory to reject.
+        """
         if not isinstance(known, dict) or not isinstance(known.get("targets"), list):
-            return known  # of no use: the directory says why
+            return known
         start = {**known, "targets": self._newer(known.get("rev", 0)) or known.get("targets", [])}
-        self.note({**start, "rev": known.get("rev", 0)}, True)
+        self._merge({**start, "rev": known.get("rev", 0)}, True)
         self.saved = True
         return start
 
     def _newer(self, rev: int) -> list[Json] | None:
+        """The persisted targets if their version is past `rev` and they can be read; otherwise None."""
         value = self.saver.load()
         if value is None:
             return None
@@ -49,22 +58,24 @@
         log.info("starting from the list that was kept, version %d", kept["rev"])
         return targets
 
-    def note(self, answer: Json, whole: bool) -> None:
-        """Takes up what discovery told and the directory took."""
+    def _merge(self, answer: Json, whole: bool) -> None:
         if whole:
             self.targets.clear()
-        for one in answer["targets"]:
-            name = one.get("uid") if isinstance(one, dict) else None
+        for target in answer["targets"]:
+            name = target.get("uid") if isinstance(target, dict) else None
             if isinstance(name, str):
-                if one.get("state") == "Gone":
+                if target.get("state") == "Gone":
                     self.targets.pop(name, None)
                 else:
-                    self.targets[name] = one
+                    self.targets[name] = target
         self.rev, self.saved = answer["rev"], False
 
-    def take(self, answer: Json, whole: bool) -> None:
-        """The same, and sees to it that it is saved: at once, or PAUSE after the last time."""
-        self.note(answer, whole)
+    def update(self, answer: Json, whole: bool) -> None:
+        """Merges an answer of the list service, and saves at once or SAVE_INTERVAL after the last save.
+
+        whole: the answer replaces the list; otherwise it holds the changed targets alone.
+        """
+        self._merge(answer, whole)
         if self.saving is None or self.saving.done():
             self.saving = asyncio.get_running_loop().create_task(self._save_soon())
 
@@ -74,13 +85,13 @@
             self.saved = True
             if not await self.saver.save_aside(value):
                 self.saved = False
-            await asyncio.sleep(PAUSE)
+            await asyncio.sleep(SAVE_INTERVAL)
 
     def _value(self) -> bytes:
         return orjson.dumps({"rev": self.rev, "targets": list(self.targets.values())})
 
     def close(self) -> None:
-        """The last save, and lets go."""
+        """Saves what has changed since the last save, and releases the store."""
         if self.saving is not None:
             self.saving.cancel()
         if not self.saved:
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -21,8 +21,8 @@
 
 if TYPE_CHECKING:
     from applehub.node.keptlearnt import KeptLearnt
-    from applehub.node.keptlist import KeptList
     from applehub.node.peering import Peering
+    from applehub.node.persisted_list import PersistedList
 
 ACCEPT_AFTER_SIGTERM = 0.5  # s for which new clients are still accepted if no other process takes them
 KILL_GRACE = 0.7  # s from the longest deadline of a request until the platform sends SIGKILL
@@ -62,7 +62,7 @@
         self.shared = self._open_shared()
         self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
         self.peering = self._create_peering()
-        self.persisted_list: KeptList | None = None
+        self.persisted_list: PersistedList | None = None
         self.persisted_statistics: KeptLearnt | None = None
         self._open_persisted()
         self._apply_limits(1)
@@ -99,14 +99,14 @@
         if folder is None:
             return
         from applehub.node.keptlearnt import KeptLearnt
-        from applehub.node.keptlist import KeptList
+        from applehub.node.persisted_list import PersistedList
 
         try:
-            self.persisted_list = KeptList(folder)
+            self.persisted_list = PersistedList(folder)
             self.persisted_statistics = KeptLearnt(folder, self.balancer.learnt)
         except OSError as problem:
             raise ConfigurationError(f"state_dir: {problem}") from None
-        self.directory.took = self.persisted_list.take
+        self.directory.took = self.persisted_list.update
 
     def _register_gauges(self) -> None:
         self.figures.gauges |= {
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -13,7 +13,7 @@
 from applehub.durable.store import HEAD, Loaded, Store, StoreError, framed
 from applehub.lab.powerloss import RecordedDisk, search
 from applehub.node.keptlearnt import KeptLearnt
-from applehub.node.keptlist import KeptList
+from applehub.node.persisted_list import PersistedList
 
 VALUES = [b"first", b"a" * 1500, b"b" * 700, b"", b"c" * 1100, bytes(range(256)) * 8]
 
@@ -140,24 +140,24 @@
         return [{"uid": f"c{number}", "state": state} for number, state in enumerate(states)]
 
     told = {"rev": 4, "all": True, "targets": entries("Ready", "Ready", "Ready")}
-    first = KeptList(str(tmp_path))
+    first = PersistedList(str(tmp_path))
     assert first.load(told) == told
-    first.take({"rev": 6, "targets": entries("Ready", "Terminating", "Gone")}, False)
+    first.update({"rev": 6, "targets": entries("Ready", "Terminating", "Gone")}, False)
     first.close()
-    second = KeptList(str(tmp_path))
+    second = PersistedList(str(tmp_path))
     assert second.load(told) == {**told, "targets": entries("Ready", "Terminating")}
     assert second.load({**told, "rev": 9})["targets"] == told["targets"]
     for file in tmp_path.glob("list.?"):
         file.write_bytes(file.read_bytes()[:-1])
-    assert KeptList(str(tmp_path)).load(told) == told
+    assert PersistedList(str(tmp_path)).load(told) == told
 
 
 async def test_a_list_is_saved_beside_the_loop_and_again_once_the_folder_is_let_go(tmp_path: Path) -> None:
     other = Store(Folder(str(tmp_path)), "list", 1)
     other.open()
-    kept = KeptList(str(tmp_path))
+    kept = PersistedList(str(tmp_path))
     kept.load({"rev": 1, "targets": []})
-    kept.take({"rev": 2, "targets": [{"uid": "c0", "state": "Ready"}]}, False)
+    kept.update({"rev": 2, "targets": [{"uid": "c0", "state": "Ready"}]}, False)
     while not kept.saver.complained:
         await asyncio.sleep(0.01)
     assert other.load().value is None
