Rename keptlearnt to persisted_statistics

Need: "what was learnt" says less than "statistics of servers". KeptLearnt is now PersistedStatistics, PAUSE SAVE_INTERVAL, FORM FORMAT_VERSION. The file on disk, its form and the log lines are unchanged.

--- a/applehub/node/keptlearnt.py
+++ b/applehub/node/persisted_statistics.py
@@ -1,8 +1,9 @@
-"""What a router has learnt of its servers, kept on disk for the process that comes after it.
+"""Persists what the decisions have measured of each server, for the process that follows this one.
 
-The value is JSON: `wall_ms`, when it was kept (Unix time), and `servers`, by id the moving average of answer
-times, the least of it, the attempts out meanwhile, and the part of its range that it bears (ns, ns, number,
-part)."""
+The value is JSON: `wall_ms`, when it was saved (Unix time, ms), and `servers`, by id a list of four: the
+moving average of answer times (ns), the least of that average (ns), the attempts in flight meanwhile, and
+the part of its key range that the server bears.
+"""
 
 import asyncio
 import logging
@@ -14,40 +15,44 @@
 from applehub import interface as api
 from applehub.node.saver import Saver
 
-FORM = 1
-PAUSE = 5.0  # s between two saves: so much of what was learnt a crash may cost
+FORMAT_VERSION = 1
+SAVE_INTERVAL = 5.0  # s between two saves, and so the most measurements that a crash may cost
 log = logging.getLogger("applehub")
 
 
-class KeptLearnt:
-    """Loads it at the start, and saves it every few seconds."""
+class PersistedStatistics:
+    """The statistics of servers: loaded once at the start, then saved every few seconds."""
 
     def __init__(self, folder: str, learnt: Callable[[], api.Learnt]) -> None:
-        """Raises OSError where the folder can't be made."""
-        self.saver, self.learnt = Saver(folder, "learnt", FORM, "what was learnt"), learnt
+        """learnt: returns the present statistics. Raises OSError if the folder cannot be created."""
+        self.saver, self.learnt = Saver(folder, "learnt", FORMAT_VERSION, "what was learnt"), learnt
         self.saving: asyncio.Task[None] | None = None
 
     def load(self) -> api.Learnt | None:
-        """What the process before had learnt, with its age by the wall clock: where that was set back, nobody
-        knows how old it is, and it is not used."""
+        """The statistics of the process before, with their age.
+
+        None if there are none, if they cannot be read, or if their time lies in the future: then the wall
+        clock was set back, and their age is unknown.
+        """
         value = self.saver.load()
         if value is None:
             return None
         try:
-            told = orjson.loads(value)
-            age = time.time_ns() - told["wall_ms"] * 1_000_000
-            servers = {name: api.Seen(*map(float, seen)) for name, seen in told["servers"].items()}
+            kept = orjson.loads(value)
+            age = time.time_ns() - kept["wall_ms"] * 1_000_000
+            servers = {name: api.Seen(*map(float, seen)) for name, seen in kept["servers"].items()}
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             log.warning("what was learnt is passed over: %s: %s", type(problem).__name__, problem)
             return None
         return api.Learnt(age, servers) if age >= 0 else None
 
     def start(self) -> None:
-        self.saving = asyncio.get_running_loop().create_task(self._save())
+        """Begins to save at intervals; needs a running event loop."""
+        self.saving = asyncio.get_running_loop().create_task(self._save_at_intervals())
 
-    async def _save(self) -> None:
+    async def _save_at_intervals(self) -> None:
         while True:
-            await asyncio.sleep(PAUSE)
+            await asyncio.sleep(SAVE_INTERVAL)
             await self.saver.save_aside(self._value())
 
     def _value(self) -> bytes:
@@ -58,7 +63,7 @@
         return orjson.dumps({"wall_ms": time.time_ns() // 1_000_000, "servers": servers})
 
     def close(self) -> None:
-        """The last save, and lets go."""
+        """Saves a last time, and releases the store."""
         if self.saving is not None:
             self.saving.cancel()
         self.saver.save(self._value())
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -20,9 +20,9 @@
 from applehub.policy import Balancer
 
 if TYPE_CHECKING:
-    from applehub.node.keptlearnt import KeptLearnt
     from applehub.node.peering import Peering
     from applehub.node.persisted_list import PersistedList
+    from applehub.node.persisted_statistics import PersistedStatistics
 
 ACCEPT_AFTER_SIGTERM = 0.5  # s for which new clients are still accepted if no other process takes them
 KILL_GRACE = 0.7  # s from the longest deadline of a request until the platform sends SIGKILL
@@ -63,7 +63,7 @@
         self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
         self.peering = self._create_peering()
         self.persisted_list: PersistedList | None = None
-        self.persisted_statistics: KeptLearnt | None = None
+        self.persisted_statistics: PersistedStatistics | None = None
         self._open_persisted()
         self._apply_limits(1)
         self._register_gauges()
@@ -98,12 +98,12 @@
         folder = self.configuration.state_dir
         if folder is None:
             return
-        from applehub.node.keptlearnt import KeptLearnt
         from applehub.node.persisted_list import PersistedList
+        from applehub.node.persisted_statistics import PersistedStatistics
 
         try:
             self.persisted_list = PersistedList(folder)
-            self.persisted_statistics = KeptLearnt(folder, self.balancer.learnt)
+            self.persisted_statistics = PersistedStatistics(folder, self.balancer.learnt)
         except OSError as problem:
             raise ConfigurationError(f"state_dir: {problem}") from None
         self.directory.took = self.persisted_list.update
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -12,8 +12,8 @@
 from applehub.durable.folder import Folder
 from applehub.durable.store import HEAD, Loaded, Store, StoreError, framed
 from applehub.lab.powerloss import RecordedDisk, search
-from applehub.node.keptlearnt import KeptLearnt
 from applehub.node.persisted_list import PersistedList
+from applehub.node.persisted_statistics import PersistedStatistics
 
 VALUES = [b"first", b"a" * 1500, b"b" * 700, b"", b"c" * 1100, bytes(range(256)) * 8]
 
@@ -172,15 +172,15 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     seen = {"c0": api.Seen(2e6, 1e6, 1.5, 0.25)}
-    kept = KeptLearnt(str(tmp_path), lambda: api.Learnt(0, seen))
+    kept = PersistedStatistics(str(tmp_path), lambda: api.Learnt(0, seen))
     assert kept.load() is None
     kept.close()
     now = time.time_ns()
     monkeypatch.setattr(time, "time_ns", lambda: now + 7_000_000_000)
-    found = KeptLearnt(str(tmp_path), kept.learnt).load()
+    found = PersistedStatistics(str(tmp_path), kept.learnt).load()
     assert found is not None and found.servers == seen and 7_000 <= found.age // 1_000_000 < 8_000
     monkeypatch.setattr(time, "time_ns", lambda: now - 7_000_000_000)  # the clock was set back
-    assert KeptLearnt(str(tmp_path), kept.learnt).load() is None
+    assert PersistedStatistics(str(tmp_path), kept.learnt).load() is None
     store = Store(Folder(str(tmp_path)), "learnt", 1)
     store.open()
     for value in (
@@ -189,4 +189,4 @@
         b'{"wall_ms": 1, "servers": {"c0": [1]}}',
     ):
         store.save(value)
-        assert KeptLearnt(str(tmp_path), kept.learnt).load() is None
+        assert PersistedStatistics(str(tmp_path), kept.learnt).load() is None
