Rename byhand to operator_overrides

Need: an operator's drain or disable of a server is an override in the field's words, and the doc comments of byhand.py and shared.py used house wording ("signs left behind", "say", "look"). node.byhand.ByHand is now node.operator_overrides.OperatorOverrides, shared.Told is Override, the test file test_operator_overrides.py; Router.by_hand is Router.overrides. Methods state what they return and raise. The event api.ByHand, the files in $TMPDIR, log lines and answers are unchanged.

--- a/applehub/lab/fleet/variants.py
+++ b/applehub/lab/fleet/variants.py
@@ -12,7 +12,7 @@
 from applehub.node.discovery import Directory, Watch
 from applehub.node.driver import Driver, Held
 from applehub.node.figures import Answered
-from applehub.node.shared import Shared, Told
+from applehub.node.shared import Override, Shared
 from applehub.peers.records import Body, Book
 from applehub.peers.records import Told as Record
 from applehub.peers.swim import Membership
@@ -122,8 +122,8 @@
 def forgets_calls() -> None:
     """Says yes to an operator's call and keeps it in memory alone."""
 
-    def say(self: Shared, server: str, out: bool) -> dict[str, Told]:
-        return {server: Told(out, 1)}
+    def say(self: Shared, server: str, out: bool) -> dict[str, Override]:
+        return {server: Override(out, 1)}
 
     Shared.say = say  # type: ignore[method-assign]
 
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from applehub import interface as api
-from applehub.node.byhand import ByHand
 from applehub.node.clients import Clients
 from applehub.node.configuration import Configuration, ConfigurationError, read_configuration
 from applehub.node.console import CallError, Console, Handler
@@ -14,6 +13,7 @@
 from applehub.node.discovery import Directory, ListError, Watch
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.operator_overrides import OperatorOverrides
 from applehub.node.pool import Pools
 from applehub.node.room import bytes_for_values
 from applehub.node.shared import Shared, shared_folder
@@ -60,7 +60,9 @@
         self.driver.watch = self.watch.start
         self.clients.can_serve = lambda: self.directory.can_serve
         self.shared = self._open_shared()
-        self.by_hand = ByHand(self.directory, self.driver.tell, self.shared) if self.shared else None
+        self.overrides: OperatorOverrides | None = None
+        if self.shared is not None:
+            self.overrides = OperatorOverrides(self.directory, self.driver.tell, self.shared)
         self.peering = self._create_peering()
         self.persisted_list: PersistedList | None = None
         self.persisted_statistics: PersistedStatistics | None = None
@@ -121,8 +123,8 @@
             "HEALTH": lambda _: self.health(),
             "DUMP": lambda _: "\n".join(["+OK", *self.figures.lines(), "."]),
         }
-        if self.by_hand is not None:
-            commands |= {"OFFLINE": self.by_hand.offline, "ONLINE": self.by_hand.online}
+        if self.overrides is not None:
+            commands |= {"OFFLINE": self.overrides.offline, "ONLINE": self.overrides.online}
         if self.peering is not None:
             peering = self.peering
             commands["PEERS"] = lambda _: "\n".join(["+OK", *peering.lines(), "."])
@@ -150,9 +152,9 @@
 
     def _poll_shared(self) -> None:
         """Takes over what the router's other process wrote, and whether there is one; repeats itself."""
-        if self.shared is None or self.by_hand is None:
+        if self.shared is None or self.overrides is None:
             return
-        self.by_hand.look()
+        self.overrides.look()
         processes = 2 if self.shared.others() else 1
         if processes != self.processes:
             alone = "no other process serves any more"
--- a/applehub/node/shared.py
+++ b/applehub/node/shared.py
@@ -1,4 +1,4 @@
-"""What the processes of one router share through $TMPDIR while one takes over from another."""
+"""State that the processes of one router share through $TMPDIR while one takes over from another."""
 
 import contextlib
 import fcntl
@@ -12,13 +12,17 @@
 import orjson
 
 FLOCK = "hhqqi0q"  # struct flock: type, whence, start, length, process
-BACK_KEPT = 600_000  # ms for which a call back is remembered: by then the server is warm
+ONLINE_KEPT_MS = 600_000  # ms for which a call back into service is remembered: by then the server is warm
+NS_PER_MS = 1_000_000
 log = logging.getLogger("applehub")
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
-    """The latest call for a cache server: out or back, and when (Unix time, ms)."""
+class Override:
+    """The latest call of an operator for a cache server.
+
+    out: whether the server was taken out of service. at: when the call was accepted (Unix time, ms).
+    """
 
     out: bool
     at: int
@@ -35,15 +39,17 @@
 
 
 class Shared:
-    """A file of what operators said of cache servers, and a locked byte for each process that runs."""
+    """A file of operator overrides, and a file of which each running process locks one byte."""
 
     def __init__(self, folder: str) -> None:
+        """Marks this process as running. Raises OSError if the folder cannot be written to."""
         self.file = os.path.join(folder, "applehub-by-hand.json")
         self.lock = os.path.join(folder, "applehub-by-hand.lock")
-        self.runs = open(os.path.join(folder, "applehub.runs"), "wb")  # noqa: SIM115 (until it leaves)
-        # A byte of its own for each process. Guards against signs left behind: a lock ends with its holder.
+        self.runs = open(os.path.join(folder, "applehub.runs"), "wb")  # noqa: SIM115 (open until `leave`)
+        # Each process locks the byte at its own id. The kernel releases the lock whichever way the process
+        # ends, so a crashed process never counts as running.
         fcntl.lockf(self.runs, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, os.getpid())
-        self._read_as: tuple[int, int] | None = None  # inode and time of the file last read
+        self._read_as: tuple[int, int] | None = None  # inode and modification time of the file last read
 
     def others(self) -> bool:
         """Whether another process of this router runs."""
@@ -52,29 +58,36 @@
         return found != fcntl.F_UNLCK
 
     def leave(self) -> None:
+        """Marks this process as running no more."""
         self.runs.close()
 
-    def say(self, server: str, out: bool) -> dict[str, Told]:
-        """Writes a call down; gives all that holds from now on. Raises OSError where it can't be kept."""
-        now = time.time_ns() // 1_000_000
-        with self._alone():
-            told = {name: one for name, one in self._load().items() if one.out or one.at > now - BACK_KEPT}
-            told[server] = Told(out, now)
-            beside = self.file + ".new"
-            with open(beside, "wb") as file:
-                file.write(orjson.dumps({name: [one.out, one.at] for name, one in told.items()}))
+    def say(self, server: str, out: bool) -> dict[str, Override]:
+        """Writes an override to disk; returns all overrides, by server.
+
+        The file and its folder are synchronised before the call returns: an acknowledged override survives a
+        power loss. Raises OSError if it cannot be written.
+        """
+        now = time.time_ns() // NS_PER_MS
+        with self._exclusive():
+            overrides = {
+                name: one for name, one in self._load().items() if one.out or one.at > now - ONLINE_KEPT_MS
+            }
+            overrides[server] = Override(out, now)
+            replacement = self.file + ".new"
+            with open(replacement, "wb") as file:
+                file.write(orjson.dumps({name: [one.out, one.at] for name, one in overrides.items()}))
                 file.flush()
                 os.fsync(file.fileno())
-            os.replace(beside, self.file)
+            os.replace(replacement, self.file)
             folder = os.open(os.path.dirname(self.file), os.O_RDONLY)
             try:
-                os.fsync(folder)  # the name, too: a yes that is given holds over a power loss
+                os.fsync(folder)
             finally:
                 os.close(folder)
-        return told
+        return overrides
 
-    def changed(self) -> dict[str, Told] | None:
-        """All that was said, if the file is another one than at the last look."""
+    def changed(self) -> dict[str, Override] | None:
+        """All overrides if the file was replaced since the last call; otherwise, or without a file, None."""
         try:
             status = os.stat(self.file)
         except OSError:
@@ -85,16 +98,18 @@
         return self._load()
 
     @contextlib.contextmanager
-    def _alone(self) -> Iterator[None]:
+    def _exclusive(self) -> Iterator[None]:
+        """Excludes writers in other processes."""
         with open(self.lock, "wb") as held:
             fcntl.flock(held, fcntl.LOCK_EX)
             yield
 
-    def _load(self) -> dict[str, Told]:
+    def _load(self) -> dict[str, Override]:
+        """The overrides in the file: none if it is missing, or if it cannot be read, which is logged."""
         try:
             with open(self.file, "rb") as file:
-                told = orjson.loads(file.read())
-            return {name: Told(bool(out), int(at)) for name, (out, at) in told.items()}
+                content = orjson.loads(file.read())
+            return {name: Override(bool(out), int(at)) for name, (out, at) in content.items()}
         except FileNotFoundError:
             return {}
         except (OSError, ValueError, TypeError, AttributeError) as problem:
--- a/tests/test_byhand.py
+++ b/tests/test_operator_overrides.py
@@ -10,8 +10,8 @@
 from support import MILLI, SECOND, Router, settings
 
 from applehub import interface as api
-from applehub.node.byhand import ByHand
 from applehub.node.console import CallError
+from applehub.node.operator_overrides import OperatorOverrides
 from applehub.node.shared import Shared
 
 
@@ -86,8 +86,8 @@
     assert (taken(1), taken(2)) == (2, 1)
 
 
-def by_hand(bench: Bench, folder: Path) -> ByHand:
-    return ByHand(bench.directory, bench.driver.tell, Shared(str(folder)))
+def by_hand(bench: Bench, folder: Path) -> OperatorOverrides:
+    return OperatorOverrides(bench.directory, bench.driver.tell, Shared(str(folder)))
 
 
 def two(cache: object, origin: object) -> list[dict[str, object]]:
