--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -14,7 +14,7 @@
 from applehub.node.call import CallError, read_call
 from applehub.node.descriptors import Places
 from applehub.node.driver import Driver, Held
-from applehub.node.room import LONG_PART
+from applehub.node.memory_budget import LONG_PART
 from applehub.node.stream import Reader, Stream
 from applehub.settings import Names
 
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -13,8 +13,8 @@
 from applehub.node import resp
 from applehub.node.call import Call, Carrier, Ending, Exchange
 from applehub.node.figures import Answered, Figures
+from applehub.node.memory_budget import MemoryBudget as Room
 from applehub.node.pool import Pools
-from applehub.node.room import Room
 from applehub.node.stream import Source, Stream
 from applehub.policy import Balancer
 
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -13,9 +13,9 @@
 from applehub.node.discovery import Directory, ListError, Watch
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.memory_budget import bytes_for_values
 from applehub.node.operator_overrides import OperatorOverrides
 from applehub.node.pool import Pools
-from applehub.node.room import bytes_for_values
 from applehub.node.shared import Shared, shared_folder
 from applehub.policy import Balancer
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,8 +15,8 @@
 from applehub import interface as api
 from applehub.node import discovery, pool
 from applehub.node.discovery import Directory, ListError, Watch
+from applehub.node.memory_budget import bytes_for_values
 from applehub.node.pool import Pools
-from applehub.node.room import bytes_for_values
 from applehub.settings import read_names
 
 ROOT = Path(__file__).parent.parent
