State cases, units and results in the doc comments of the node layer

Need: doc comments of settings, stream, figures, saver and console spoke in riddles ("Guards the places of operators against callers that ...") or house words, and left out units, results and errors. Each module and public item now states the case and the rule. Saver.save_aside is save_in_thread.

--- a/applehub/node/console.py
+++ b/applehub/node/console.py
@@ -1,24 +1,24 @@
-"""The operators' second address: one line to a connection, answered on the router's own event loop."""
+"""The operators' console: a second listening address with one command line and one answer per connection."""
 
 import asyncio
 import logging
 from collections.abc import Callable
 from typing import cast
 
-MOST_CALLERS = 16  # connections at once; past that the oldest with no whole call makes room
-MOST_LINE = 512  # bytes of a call
-PROMPT = 2.5  # s in which a caller must send its line
+MOST_CALLERS = 16  # connections without a complete line at once; past that the oldest is closed
+MOST_LINE = 512  # bytes of a command line
+PROMPT = 2.5  # s in which a connection must send its line
 Handler = Callable[[str], str]
-ALONE = frozenset({"HEALTH", "DUMP", "PEERS"})  # calls that take nothing; others take a server's id
+ALONE = frozenset({"HEALTH", "DUMP", "PEERS"})  # commands without an argument; others take a server's id
 log = logging.getLogger("applehub")
 
 
 class CallError(ValueError):
-    """A call that is answered with a no; its text says why."""
+    """A command that is refused; the text is the reason, sent to the operator after "-ERR"."""
 
 
 class Caller(asyncio.Protocol):
-    """One connection of an operator."""
+    """One connection of an operator: it sends a line, gets the answer, and is closed."""
 
     def __init__(self, console: "Console") -> None:
         self.console = console
@@ -50,7 +50,7 @@
             self.late.cancel()
 
     def end(self, answer: str) -> None:
-        """Answers and ends the connection; nothing that comes later counts."""
+        """Sends the answer and closes the connection; input after that is ignored."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(answer.encode() + b"\n")
             self.transport.close()
@@ -58,29 +58,39 @@
 
 
 class Console:
-    """The listener, and what may be called on it."""
+    """The listener and its commands.
+
+    calls: functions by the command's name in upper case; each takes the command's argument and returns the
+    answer, or raises CallError.
+    """
 
     def __init__(self, calls: dict[str, Handler]) -> None:
         self.calls = calls
-        self.callers: dict[Caller, None] = {}  # those that have sent no whole call yet, oldest first
+        self.callers: dict[Caller, None] = {}  # connections without a complete line, oldest first
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
+        """Listens; returns the address, with the port that was chosen for port 0. Raises OSError."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Caller(self), host, port)
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
     def enter(self, caller: Caller) -> None:
-        """Guards the places of operators against callers that connect and say nothing."""
+        """Admits a connection; if MOST_CALLERS have sent no complete line, the oldest of them is closed.
+
+        So connections that send nothing never keep an operator out.
+        """
         if len(self.callers) >= MOST_CALLERS:
             next(iter(self.callers)).end("-ERR too many callers")
         self.callers[caller] = None
 
     def leave(self, caller: Caller) -> None:
+        """Counts a connection no more: its line is answered, or it is closed."""
         self.callers.pop(caller, None)
 
     def answer(self, line: bytes) -> str:
+        """Runs the command of a line; returns the answer, an -ERR line if it fails."""
         word, _, rest = line.decode("latin-1").strip().partition(" ")
         call = self.calls.get(word.upper())
         if call is None:
@@ -98,6 +108,7 @@
             return "-ERR the call failed"
 
     def close(self) -> None:
+        """Stops listening, and answers all open connections that the router ends."""
         if self._server is not None:
             self._server.close()
         for caller in list(self.callers):
--- a/applehub/node/persisted_list.py
+++ b/applehub/node/persisted_list.py
@@ -83,7 +83,7 @@
         while not self.saved:
             value = self._value()
             self.saved = True
-            if not await self.saver.save_aside(value):
+            if not await self.saver.save_in_thread(value):
                 self.saved = False
             await asyncio.sleep(SAVE_INTERVAL)
 
--- a/applehub/node/persisted_statistics.py
+++ b/applehub/node/persisted_statistics.py
@@ -53,7 +53,7 @@
     async def _save_at_intervals(self) -> None:
         while True:
             await asyncio.sleep(SAVE_INTERVAL)
-            await self.saver.save_aside(self._value())
+            await self.saver.save_in_thread(self._value())
 
     def _value(self) -> bytes:
         servers = {
--- a/applehub/node/saver.py
+++ b/applehub/node/saver.py
@@ -1,4 +1,4 @@
-"""A value that a process keeps on disk while it serves: saved beside the event loop, complained of once."""
+"""Saves a value to disk while the router serves, without blocking its event loop."""
 
 import asyncio
 import logging
@@ -11,16 +11,21 @@
 
 
 class Saver:
-    """A store that may be another process's for a while, as the old one's during an upgrade."""
+    """A store for one value. During an upgrade the old process holds it, and saves fail until that ends."""
 
     def __init__(self, folder: str, name: str, form: int, what: str) -> None:
-        """what: how the log calls it. Raises OSError where the folder can't be made."""
+        """name, form: name of the store's files, and version of their content. what: the value, for the log.
+
+        Raises OSError if the folder cannot be created.
+        """
         self.store, self.what = Store(Folder(folder), name, form), what
         self.complained = False
-        self.alone = threading.Lock()  # the last save may come while one is still under way in its thread
+        self.alone = (
+            threading.Lock()
+        )  # held while the store is used: `close` may come during a save in a thread
 
     def load(self) -> bytes | None:
-        """What was kept, with a line in the log for each file of no use; none where there is none."""
+        """The value saved last, None if there is none; each file that cannot be used is logged."""
         try:
             loaded = self.store.load()
         except OSError as problem:
@@ -31,14 +36,14 @@
         return loaded.value
 
     def save(self, value: bytes) -> bool:
-        """Whether it is kept now; if not, the one before holds."""
+        """Saves a value; returns once it is on disk. False if that fails: the value before remains then."""
         try:
             with self.alone:
                 if not self.store.held:
                     self.store.open()
                 self.store.save(value)
         except (OSError, StoreError) as problem:
-            # Said once: as a rule the old process of an upgrade holds it, until that ends.
+            # Logged once until a save succeeds: during an upgrade each save fails until the old process ends.
             if not self.complained:
                 log.warning("%s can't be kept: %s", self.what, problem)
             self.complained = True
@@ -46,11 +51,11 @@
         self.complained = False
         return True
 
-    async def save_aside(self, value: bytes) -> bool:
-        """The same in a thread: a sync may take longer than a request waits."""
+    async def save_in_thread(self, value: bytes) -> bool:
+        """As `save`, in a thread: a sync to disk may take longer than a request may wait."""
         return await asyncio.get_running_loop().run_in_executor(None, self.save, value)
 
     def close(self) -> None:
-        """Lets go."""
+        """Releases the store, after a save that is under way."""
         with self.alone:
             self.store.close()
--- a/applehub/settings.py
+++ b/applehub/settings.py
@@ -1,4 +1,4 @@
-"""Reads the settings that a router is given at its start, for the adapter and the real router alike."""
+"""Reads and checks a router's settings, for the simulator's adapter and the real router alike."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -8,7 +8,7 @@
 FLEET_MODES = ("pushed", "on_request")
 CACHE_MODES = ("through", "aside")
 Json = dict[str, Any]
-OPTIONAL = frozenset({"aimStretch"})  # keys that may be absent, by the page on the wire
+OPTIONAL = frozenset({"aimStretch"})  # keys that a reload may omit, as the wire protocol allows
 LOAD = {
     "outstanding": "inflight",
     "backlog": "queue",
@@ -16,15 +16,20 @@
     "recent_ms": "latency_ms",
     "throughput": "qps",
     "errors_per_s": "eps",
-}  # what the fields of a load report are called on the wire and on the sockets, and in the module
+}  # fields of a load report: the name on the wire and on sockets, and that in the interface
 
 
 class SettingError(ValueError):
-    """A start-up setting is missing or makes no sense."""
+    """A setting is missing or invalid; the text names its path."""
 
 
 def setting(source: Json, path: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
-    """Reads one setting; with no default it must be there."""
+    """Reads one setting.
+
+    source: the object that holds it. path: the dotted path to it, whose last part is the key in `source`.
+    kind: the type or types it may have; a bool is no number. default: used where it is absent or null; with
+    None it is required. Raises SettingError.
+    """
     value = source.get(path.rsplit(".", 1)[-1])
     if value is None:
         if default is None:
@@ -62,7 +67,7 @@
 
 def _class(source: Json, number: int) -> io.RequestClass:
     at = f"classes[{number}]"
-    # Guards against a second run: where it is not told that one does no harm, the strictest holds.
+    # A class without `effect` counts as unsafe to repeat, so that it never runs twice.
     return io.RequestClass(
         aim=_count(source, f"{at}.aim", 1),
         deadline=_count(source, f"{at}.deadline", 1),
@@ -76,7 +81,7 @@
 
 
 def read_settings(info: Json) -> io.Settings:
-    """Turns the wire's start-up settings into the module's."""
+    """Converts settings in their wire form to those of the decisions. Raises SettingError."""
     if not isinstance(info, dict):
         raise SettingError("setting info makes no sense: not an object")
     classes, tenants = _objects(info, "classes"), _objects(info, "tenants", [])
@@ -105,7 +110,7 @@
 
 @dataclass(slots=True)
 class Names:
-    """What stands on the sockets for the module's indexes."""
+    """The names used on sockets for classes, tenants, zones and kinds of servers, each with its index."""
 
     classes: dict[str, int]
     tenants: dict[str, int]
@@ -113,7 +118,10 @@
     kinds: dict[str, int]
 
     def after(self, before: "Names") -> "Names":
-        """These names, but zones and kinds keep the indexes they had: servers that are known carry them."""
+        """These names after a reload, which replaces `before`.
+
+        Zones and kinds known before keep their indexes, since listed servers refer to them; new ones follow.
+        """
         zones, kinds = dict(before.zones), dict(before.kinds)
         for known, told in ((zones, self.zones), (kinds, self.kinds)):
             for name in told:
@@ -123,7 +131,11 @@
 
 @dataclass(slots=True)
 class Ceilings:
-    """What the router's sockets are held to; durations are nanoseconds."""
+    """Limits on the router's requests and connections; durations in nanoseconds.
+
+    most_held: requests held at once. dial_timeout: for opening a connection to a server. keepalive: after
+    which a server closes a connection that is not used.
+    """
 
     most_held: int
     dial_timeout: int
@@ -138,7 +150,7 @@
 
 
 def read_names(info: Json) -> Names:
-    """The names of classes, tenants, zones and kinds, each with its index."""
+    """Reads the names of classes, tenants, zones and kinds. Raises SettingError."""
     classes, tenants = _objects(info, "classes"), _objects(info, "tenants", [])
     return Names(
         _indexes({"name": [one.get("name") for one in classes]}, "classes[].name", []),
@@ -149,7 +161,7 @@
 
 
 def read_ceilings(info: Json) -> Ceilings:
-    """The part of the settings that binds the router and not the module."""
+    """Reads the limits that the network code applies by itself. Raises SettingError."""
     ceilings = setting(info, "ceilings", dict)
     return Ceilings(
         most_held=_count(ceilings, "ceilings.mostHeld", 1, 20_000),
@@ -159,8 +171,12 @@
 
 
 def first_missing(told: object, known: object, at: str = "configuration") -> str | None:
-    """The first key that was told before and is not told now, at any level. Each entry of a list is held to
-    the keys that all entries before had. Guards a reload against defaults that hide what a file lacks."""
+    """The path of the first key that `known` has and `told` lacks, at any depth; None if it lacks none.
+
+    told: the settings read now. known: those before. at: the path of both, for the result. An entry of a list
+    must have the keys that all entries of the list before had. A reload that fails this check is rejected:
+    a default would otherwise replace a value that was once configured.
+    """
     if isinstance(known, list):
         entries = [one for one in known if isinstance(one, dict)]
         if not entries:
