--- a/applehub/lab/fleet/servers.py
+++ b/applehub/lab/fleet/servers.py
@@ -104,7 +104,10 @@
         return super().speed() * float(told["cold_from"] + (1 - told["cold_from"]) * warm)
 
     def count(self) -> None:
-        """Guards the rule on cold servers: within a window, so many times what it can do."""
+        """Counts a request while the server is cold, and lets it fall if a window holds too many.
+
+        The bound is `tip_multiple` times what the server can do at its present speed within `fall_s`.
+        """
         now, told = self.loop.time(), self.told
         if now - self.began >= told["ramp_s"] or self.fallen:
             return
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -47,11 +47,14 @@
 
 
 class Frames:
-    """Cuts a stream into whole values. Guards against lengths that lie: hiredis makes room for what a
-    header announces and does not look at what ends a string, so it gets whole, measured values only.
+    """Cuts a byte stream into complete RESP values.
 
-    Where long values are admitted, the last part of a write may be one: it is collected apart, or dropped
-    if there is no room, and an empty string stands in its place until the command is whole."""
+    Each value is measured before hiredis parses it. hiredis allocates whatever size a header announces and
+    does not check the end of a string, so an invalid length must be rejected before.
+
+    Where long values are admitted, the last part of a write may be one: it is collected separately, or
+    dropped if it is not admitted, and an empty string takes its place until the command is complete.
+    """
 
     __slots__ = ("admit", "at", "buffer", "items", "left", "long", "missing", "reader")
 
@@ -121,7 +124,7 @@
         line, kind = bytes(buffer[at + 1 : end]), buffer[at : at + 1]
         end += 2
         if kind == b"*":
-            # Guards against arrays in arrays without end: neither side has any, and each takes time.
+            # Neither clients nor servers nest arrays; deep nesting would cost time without bound.
             if at:
                 raise FramingError("an array in an array")
             self.items = _length(line, MOST_ITEMS)
--- a/applehub/release/gates.py
+++ b/applehub/release/gates.py
@@ -105,8 +105,10 @@
         return Verdict(halt, self._unwell(now, old, deltas) or self._too_soon(new), self._spare(new + old))
 
     def _silent(self, now: float, new: list[str], old: list[str]) -> str:
-        """Guards against a version that can't say how it fares. Where the old units are silent too, it is not
-        the version."""
+        """The reason to halt if a unit of the new version reports nothing, or lacks a metric of the old one.
+
+        If many old units are silent as well, the cause is not the new version, and silence halts nothing.
+        """
         late = [name for name in new if now - self.seen[name].heard > self.gates.silent_s]
         if late and not self._lost(now, old):
             return f"{late[0]}: tells nothing for {self.gates.silent_s:g} s"
@@ -118,7 +120,10 @@
         return ""
 
     def _too_soon(self, new: list[str]) -> str:
-        """Guards against units that are unlike: how each fails with the old version is learnt first."""
+        """The reason to wait until the old version was watched for `before_s`.
+
+        Units differ in how often they fail, so each is measured with the old version first.
+        """
         if new or self.watched_s >= self.gates.before_s:
             return ""
         return f"the old version is watched for {self.gates.before_s:g} s first"
@@ -170,7 +175,7 @@
         return ""
 
     def _unwell(self, now: float, old: list[str], deltas: dict[str, dict[str, float]]) -> str:
-        """Guards against a release that adds to a trouble that is not its own."""
+        """The reason to wait while the old version's units are silent or fail: a release would add to it."""
         if old and self._lost(now, old):
             return "many units of the old version tell nothing"
         served = [deltas[name] for name in old if name in deltas]
@@ -183,7 +188,7 @@
         return ""
 
     def _spare(self, there: list[str]) -> int | None:
-        """Guards against a fleet too small for its load while units are out."""
+        """How many units the others can replace without exceeding `busy`; None if none reports its load."""
         busy = [self.seen[name].figures["busy"] for name in there if "busy" in self.seen[name].figures]
         if not busy:
             return None
