Let what routers share hold lists of 1,024 servers and as many routers

Need: fleets of hundreds of routers before hundreds of servers; no limit on lists of either may be under 1,024.

Verdicts were kept of 128 servers, so that of 1,024 failing ones 896 were never heard of; a process relayed 256 probes a second; one's own tellings past 512 were looked through at each of them. Peers with long names filled a datagram, so that shares never found room, and those that found none had lost their turn: of 1,024 others the same 64 were passed over in each round. Of more than 16 kinds the others were never told.

Change: 2,048 subjects, 1,024 relayed probes; own tellings are looked through once a minute. While there are records to tell, peers leave a quarter of a datagram to them, and who finds no room keeps its turn. Kinds take turns.

--- a/applehub/peers/codec.py
+++ b/applehub/peers/codec.py
@@ -16,6 +16,7 @@
 MAGIC, FORMAT = b"aH", 1
 MOST = 1200  # bytes of a datagram, so that no network cuts it in two
 MOST_NAME = 48  # bytes of a router's name
+MOST_KINDS = 16  # of servers in one record, whose length is a byte
 MILLI = 1_000_000
 HEAD = struct.Struct("!2sBBIQIQ")
 SUM = struct.Struct("!I")
@@ -107,7 +108,7 @@
         case Limit(rate, spent):
             body += LIMIT.pack(rate, spent)
         case Shares(by_kind):
-            body += b"".join(SHARE.pack(kind, share) for kind, share in by_kind[:16])
+            body += b"".join(SHARE.pack(kind, share) for kind, share in by_kind[:MOST_KINDS])
         case Verdict(failing, attempts):
             body += VERDICT.pack(failing, min(attempts, 0xFFFF))
     return ITEM.pack(KINDS_OF[type(one.body)], len(body)) + body
@@ -120,9 +121,9 @@
         self.parts = [HEAD.pack(MAGIC, FORMAT, kind, fleet, sender, seq, target)]
         self.size = HEAD.size + SUM.size
 
-    def add(self, item: bytes) -> bool:
-        """Whether it had room."""
-        if self.size + len(item) > MOST:
+    def add(self, item: bytes, room: int = MOST) -> bool:
+        """Adds an item if the datagram stays within so many bytes; whether it did."""
+        if self.size + len(item) > room:
             return False
         self.parts.append(item)
         self.size += len(item)
--- a/applehub/peers/records.py
+++ b/applehub/peers/records.py
@@ -11,7 +11,7 @@
 from heapq import nsmallest
 
 SECOND = 1_000_000_000
-MOST_SUBJECTS = 128  # servers that verdicts are kept of; those with the lowest digests
+MOST_SUBJECTS = 2048  # servers that verdicts are kept of; those with the lowest digests
 
 
 def digest(name: str) -> int:
@@ -85,6 +85,7 @@
     def __init__(self) -> None:
         self.told: dict[Key, Told] = {}
         self.writers: dict[tuple[type[Body], int], list[int]] = {}
+        self.subjects: set[int] = set()  # servers that there are verdicts of
 
     def merge(self, one: Told) -> bool:
         """Takes up a record; whether it was news."""
@@ -105,16 +106,15 @@
             writers = self.writers.setdefault((kind, subject), [])
         writers.append(writer)
         self.told[key] = one
+        if kind is Verdict:
+            self.subjects.add(subject)
         return not self._crowded_out(kind, subject)
 
     def _crowded_out(self, kind: type[Body], subject: int) -> bool:
         """Keeps to the bound on subjects; whether this one went."""
-        if kind is not Verdict:
+        if kind is not Verdict or len(self.subjects) <= MOST_SUBJECTS:
             return False
-        subjects = [at for of, at in self.writers if of is Verdict]
-        if len(subjects) <= MOST_SUBJECTS:
-            return False
-        last = max(subjects)
+        last = max(self.subjects)
         for writer in list(self.writers[Verdict, last]):
             self._drop((Verdict, last, writer))
         return last == subject
@@ -126,6 +126,8 @@
         writers.remove(writer)
         if not writers:
             del self.writers[kind, subject]
+            if kind is Verdict:
+                self.subjects.discard(subject)
 
     def expire(self, now: int) -> list[Key]:
         """Drops what has passed its bound; gives the keys."""
@@ -143,7 +145,7 @@
 
     def accused(self) -> list[int]:
         """The digests of servers that there are verdicts of."""
-        return [subject for kind, subject in self.writers if kind is Verdict]
+        return list(self.subjects)
 
 
 def sample(lives: Iterable[int]) -> set[int]:
--- a/applehub/peers/speaker.py
+++ b/applehub/peers/speaker.py
@@ -7,11 +7,11 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import nsmallest
-from itertools import islice
 from statistics import median
 from zlib import crc32
 
 from applehub.peers.codec import (
+    MOST,
     DatagramError,
     Kind,
     Packer,
@@ -22,11 +22,11 @@
     encode_told,
 )
 from applehub.peers.records import BOUNDS, SECOND, Body, Book, Key, Limit, Shares, Told, Verdict, sample
-from applehub.peers.swim import FORGET, Call, Membership
+from applehub.peers.swim import FORGET, MOST_CHANGES, Call, Membership
 
 RETELL: dict[type[Body], int] = {Limit: SECOND // 2, Shares: 2 * SECOND, Verdict: SECOND // 2}
-MOST_OWN = 512  # subjects told of, past which those of long ago are let go
 PEERS_TOLD, PEERS_TO_NEWCOMER = 4, 20  # in a datagram, beside what has changed
+PEERS_ROOM = MOST * 3 // 4  # bytes of a datagram that peers may fill while there are records to tell
 WILD = 4  # times the median at which a figure is cut: one liar in ten moves a sum by a third, and no more
 Out = tuple[Peer | str, bytes]  # to a peer as it is known, or to a configured router by its name
 URGENT, FANOUT = 4, 2  # times that a verdict is news to be hurried, and to how many more each tick
@@ -72,6 +72,7 @@
         self.membership = Membership(me, names, seed, tick)
         self.book = Book()
         self.own: dict[tuple[type[Body], int], Own] = {}
+        self.looked_through = 0  # when what was told of long ago was last let go
         self.hot: dict[Key, int] = {}  # records that are news, with how often they were told
         self.dropped: Counter[str] = Counter()  # datagrams, by why
         self.sent = self.taken = self.bytes = 0
@@ -84,7 +85,8 @@
 
     def tell(self, now: int, body: Body, subject: int = 0) -> None:
         """Takes up what the router has to tell; goes out when it differs, and again before it is old."""
-        if len(self.own) > MOST_OWN:
+        if now - self.looked_through >= FORGET:
+            self.looked_through = now
             self.own = {key: one for key, one in self.own.items() if now - one.at < FORGET}
         own = self.own.setdefault((type(body), subject), Own())
         changed = isinstance(body, Verdict) and (
@@ -152,8 +154,7 @@
             packer = Packer(self.fleet, call.kind, self.life, call.seq, call.target)
             if isinstance(call.to, Peer) and call.to.standing is not Standing.ALIVE:
                 packer.add(encode_peer(call.to))  # so that it can refute
-            for peer in islice(self.membership.to_tell(), 13 + peers):
-                packer.add(encode_peer(peer))
+            self._fill_peers(packer, 1 + MOST_CHANGES + peers)
             self._fill(now, packer)
             data = packer.whole()
             self.sent += 1
@@ -161,10 +162,15 @@
             out.append((call.to, data))
         return out
 
+    def _fill_peers(self, packer: Packer, most: int) -> None:
+        """Peers; long names leave room for the records that are news."""
+        room = PEERS_ROOM if self.hot else MOST
+        self.membership.fill(lambda peer: packer.add(encode_peer(peer), room), most)
+
     def _fill(self, now: int, packer: Packer) -> None:
         """Records that are news, those told least first."""
         length, hot = self.membership.alive.bit_length(), self.hot
-        for key in nsmallest(MOST_PARTS, hot, key=lambda key: hot[key]):
+        for key in nsmallest(MOST_PARTS, hot, key=hot.__getitem__):
             one = self.book.told.get(key)
             if one is None:
                 del hot[key]
--- a/applehub/peers/swim.py
+++ b/applehub/peers/swim.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from heapq import nsmallest
 
@@ -22,7 +22,8 @@
 FORGET = 60 * SECOND  # from a death until the number is forgotten; nobody tells of it for as long
 FAR = 20  # ticks between tries of a configured address, or of one that died
 SLEPT = 4  # ticks without a tick: this process stood still
-MOST_RELAYED = 256  # probes for others that are out
+MOST_RELAYED = 1024  # probes for others that are out: one for each member of the largest fleet in a second
+MOST_CHANGES = 12  # told of in one datagram
 ABSENT = (Standing.DEAD, Standing.LEFT)
 
 
@@ -213,20 +214,26 @@
         there = list(self.members())
         return [Call(one, Kind.LEAVE, 0, one.life) for one in self.random.sample(there, min(8, len(there)))]
 
-    def to_tell(self) -> Iterator[Peer]:
-        """Itself first, then changes, those told least first, then others in turn: what was lost comes up."""
-        yield self.me
-        most, told = RETOLD * self._log, self.news
-        for life in nsmallest(12, told, key=lambda life: told[life]):
+    def fill(self, add: Callable[[Peer], bool], most: int) -> None:
+        """Offers a datagram so many peers at the most: itself first, then changes, those told least first,
+        then others in turn: what was lost comes up. Who finds no room keeps its turn for the next."""
+        add(self.me)
+        often, told = RETOLD * self._log, self.news
+        changed = nsmallest(MOST_CHANGES, told, key=told.__getitem__)
+        for life in changed:
+            peer = self.peers.get(life)
+            if peer is not None and not add(peer):
+                return
             told[life] += 1
-            if told[life] > most:
+            if told[life] > often:
                 del told[life]
-            peer = self.peers.get(life)
-            if peer is not None:
-                yield peer
+        left = most - 1 - len(changed)
         for _ in range(len(self.peers)):
             if not self.cursor:
                 self.cursor = list(self.peers)
-            peer = self.peers.get(self.cursor.pop())
+            peer = self.peers.get(self.cursor[-1])
             if peer is not None and peer.standing not in ABSENT:
-                yield peer
+                if left <= 0 or not add(peer):
+                    return
+                left -= 1
+            self.cursor.pop()
--- a/applehub/peers/voice.py
+++ b/applehub/peers/voice.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from applehub import interface as api
+from applehub.peers.codec import MOST_KINDS
 from applehub.peers.records import SECOND, Limit, Shares, Verdict, digest
 from applehub.peers.speaker import Speaker
 
@@ -33,7 +34,17 @@
             self.looked = now
             speaker.tell(now, Limit(tell.rate, tell.spent))
             shares = [(digest(name), tell.shares[at]) for name, at in kinds.items() if at in tell.shares]
-            speaker.tell(now, Shares(tuple(shares)))
+            speaker.tell(now, Shares(self._part(shares)))
+
+    def _part(self, shares: list[tuple[int, float]]) -> tuple[tuple[int, float], ...]:
+        """As many kinds as one record holds. Where there are more they take turns, and each router begins
+        with others, so that at any time some router tells of each."""
+        if len(shares) <= MOST_KINDS:
+            return tuple(shares)
+        own = self.speaker.own.get((Shares, 0))
+        tellings = own.version if own is not None else 0
+        start = (self.speaker.life + tellings * MOST_KINDS) % len(shares)
+        return tuple((shares[start:] + shares[:start])[:MOST_KINDS])
 
     def hear(self, now: int, servers: Iterable[str], kinds: dict[str, int]) -> api.Fleet:
         """What the module is told: of servers that it lists, and of nothing else."""
