Keep the instants of keys when many lists come in one turn

Cause: of the lists that keys move over, the latest 32 were kept. A release over 1,024 servers brings hundreds within one ramp time; keys that had not come to their instant were drawn along to a list of half a second ago, all of them at once.

Change: past 32 the list goes that stands nearest in time to its neighbours, not the oldest. Up to 32 nothing changes. A decision looks through no more lists than before, and memory stays bounded.

--- a/applehub/policy/keys.py
+++ b/applehub/policy/keys.py
@@ -7,7 +7,7 @@
 from applehub.policy.rates import SMOOTHING
 
 KEYS_KEPT = 1 << 14  # keys remembered; the oldest are forgotten first
-DEALS_KEPT = 32  # lists remembered while keys move from one to the next
+DEALS_KEPT = 32  # lists remembered while keys move; past it, the one nearest in time to its neighbours goes
 SAMPLES = 8  # requests counted for each server before old ones count half
 UNKNOWN = 63  # the age of keys that are not remembered
 
@@ -22,11 +22,12 @@
 
     def deal(self, now: int, names: list[str]) -> None:
         """Notes a new list; deals that every key has left behind are forgotten."""
-        if names == self.deals[-1][1]:
-            return
-        self.deals.append((now, names))
+        if names != self.deals[-1][1]:
+            self.deals.append((now, names))
         done = max(n for n, (since, _) in enumerate(self.deals) if n < 1 or since <= now - self.turn)
-        self.deals = self.deals[max(done, not self.deals[0][1]) :][-DEALS_KEPT:]
+        self.deals = deals = self.deals[max(done, not self.deals[0][1]) :] or self.deals
+        if len(deals) > DEALS_KEPT:
+            del deals[min(range(1, DEALS_KEPT), key=lambda n: deals[n + 1][0] - deals[n - 1][0])]
 
     def locate(self, key: str, now: int) -> tuple[float, int, str, Iterator[str]]:
         """How deep in its range a key lies, when it last took up a list, the owner of its range in that list,
--- a/applehub/policy/servers.py
+++ b/applehub/policy/servers.py
@@ -108,6 +108,5 @@
 
     def open(self, now: int) -> bool:
         """Whether it may be tried: one at a time after a failure, until it answers."""
-        return self.member.state is api.State.READY and (
-            not self.fails or (now >= self.down_until and not self.out)
-        )
+        tried_again = now >= self.down_until and not self.out
+        return self.member.state is api.State.READY and (not self.fails or tried_again)
