Bound the list service's encoded answers by bytes, not by their number

Cause: 64 answers were kept. Where each of 1,024 routers has a view of its own, every one of them was encoded anew at each call, while 64 whole lists of 1,024 servers could take as much memory as they liked.

Change: 16 MB of answers are kept, the oldest go first.

--- a/applehub/registry/watches.py
+++ b/applehub/registry/watches.py
@@ -12,7 +12,7 @@
 REST = (
     0.1  # s after a round of waking in which changes gather for the next: thousands of answers cost as much
 )
-ANSWERS = 64  # encoded answers kept
+MOST_KEPT = 16 << 20  # bytes of encoded answers: each watcher may have a view, or a version, of its own
 
 
 class Answers:
@@ -21,12 +21,14 @@
     def __init__(self) -> None:
         self.version = -1
         self.kept: OrderedDict[tuple[int | None, str], tuple[bytes, bool, dict[str, str]]] = OrderedDict()
+        self.size = 0  # bytes of those that are kept
 
     def get(self, entries: Entries, since: int | None, view: str) -> tuple[bytes, bool, dict[str, str]]:
         """The body for a caller that holds a version, whether it is the whole list, and the states it
         tells."""
         if entries.version != self.version:
             self.kept.clear()
+            self.size = 0
             self.version = entries.version
         whole, told = entries.since(since)
         key = (None if whole else since, view)
@@ -34,8 +36,9 @@
             targets = [one.target(view) for one in told]
             body = orjson.dumps({"rev": entries.version, "all": whole, "targets": targets})
             self.kept[key] = body, whole, {one.uid: one.state for one in told}
-            if len(self.kept) > ANSWERS:
-                self.kept.popitem(last=False)
+            self.size += len(body)
+            while self.size > MOST_KEPT and len(self.kept) > 1:
+                self.size -= len(self.kept.popitem(last=False)[1][0])
         return self.kept[key]
 
 
