--- /dev/null
+++ b/tests/measure_sizes.py
@@ -0,0 +1,168 @@
+"""Measures what large fleets cost one router: `PYTHONPATH=. python tests/measure_sizes.py [RUNS]`.
+
+Each run is a process of its own. Prints tables as docs/findings/sizes.md has them: the median of the runs,
+and the least and the most. Times are processor time of the process, so that other work on the machine counts
+little."""
+
+import asyncio
+import gc
+import json
+import subprocess
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from statistics import median
+
+import psutil
+from peers import entry, info
+from support import MILLI, SECOND
+
+from applehub import interface as api
+from applehub.node.discovery import Directory
+from applehub.node.driver import Driver
+from applehub.node.figures import Figures
+from applehub.node.pool import Pools
+from applehub.peers.codec import Peer, Standing
+from applehub.peers.records import BOUNDS, Limit, Shares, Told, Verdict, digest
+from applehub.peers.speaker import Speaker
+from applehub.policy import Balancer
+from applehub.settings import read_names, read_settings
+
+RUNS = 5
+SERVERS = (16, 60, 300, 1024)
+MEMBERS = (65, 260, 520, 1024)
+DECISIONS = 5000
+DELTAS = 20
+TICKS = 100
+MEGABYTE, KILOBYTE = 1 << 20, 1 << 10
+Measured = dict[str, float]
+
+
+def cost_of(work: Callable[[], object]) -> float:
+    """s of processor time."""
+    begin = time.process_time()
+    work()
+    return time.process_time() - begin
+
+
+def resident() -> float:
+    """MB that the process holds."""
+    gc.collect()
+    return float(psutil.Process().memory_info().rss / MEGABYTE)
+
+
+async def measure_list(servers: int) -> Measured:
+    """Directory, pools and decisions of one router that hold a list."""
+    settings = read_settings({**info(), "balancers": servers})
+    driver = Driver(Balancer(settings, 1), Pools(64, 0.25, 60.0), 100, Figures())
+    directory = Directory(read_names(info()), 1, driver.pools, driver.tell)
+    listed = [entry(f"c{number}", f"10.0.{number // 200}.{number % 200}:6379") for number in range(servers)]
+    body = json.dumps({"rev": 1, "all": True, "targets": listed}).encode()
+    empty = resident()
+    whole = cost_of(lambda: directory.take(json.loads(body)))
+    held = resident()
+
+    def change() -> None:
+        for number in range(DELTAS):
+            state = ("Terminating", "Ready")[number % 2]
+            directory.take({"rev": 2 + number, "all": False, "targets": [{**listed[0], "state": state}]})
+
+    return {
+        "list, kB": len(body) / KILOBYTE,
+        "RSS without, MB": empty,
+        "RSS with the list, MB": held,
+        "whole list, ms": whole * 1e3,
+        "one delta, ms": cost_of(change) / DELTAS * 1e3,
+    }
+
+
+def measure_decisions(servers: int) -> Measured:
+    """Requests that each go to one cache server and are answered there."""
+    settings = read_settings({**info(), "balancers": servers})
+    balancer = Balancer(settings, 1)
+    balancer.handle(SECOND, api.Members(api.ListKind.FULL, [api.Member(f"c{n}") for n in range(servers)]))
+
+    def play() -> None:
+        now = 100 * SECOND
+        for number in range(DECISIONS):
+            now += MILLI
+            request = api.Request(f"r{number}", 0, now + 10 * SECOND, f"k{number % 977}")
+            (send,) = [one for one in balancer.handle(now, request) if isinstance(one, api.Send)]
+            ended = api.Outcome(send.id, 0, send.server, api.Status.OK, True, MILLI)
+            balancer.handle(now + MILLI // 2, ended)
+
+    return {"a request and its answer, us": cost_of(play) / DECISIONS * 1e6}
+
+
+def measure_peers(members: int) -> Measured:
+    """What a process holds of its peers, and its ticks; once more with verdicts of as many servers."""
+    me = Peer(members, 0, Standing.ALIVE, bytes(4), 1, "n0")
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    one = Speaker(me, "fleet", [], 1, 50 * MILLI)
+    for number in range(1, members):
+        peer = Peer(number, 0, Standing.ALIVE, number.to_bytes(4), 1, f"n{number}")
+        one.membership.merge(SECOND, peer)
+    for writer in range(1, members):
+        one.book.merge(Told(writer, 0, 1, SECOND, Limit(10.0, 5.0)))
+        one.book.merge(Told(writer, 0, 1, SECOND, Shares(((1, 0.5), (2, 0.5)))))
+    there = tracemalloc.get_traced_memory()[0] - before
+    for number in range(members):
+        for writer in range(1, BOUNDS[Verdict].writers + 1):
+            one._know(Told(writer, digest(f"c{number}"), 1, SECOND, Verdict(True, 1)))
+    accused = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+
+    def tick() -> None:
+        for _ in range(TICKS):
+            one.tick(SECOND)
+
+    urgent = cost_of(tick) / TICKS * 1e3
+    view = cost_of(lambda: one.view(SECOND)) * 1e3
+    one.book.expire(100 * SECOND)
+    one.hot.clear()
+    return {
+        "members and their records, kB": there / KILOBYTE,
+        "with all servers accused, kB": accused / KILOBYTE,
+        "one tick, ms": cost_of(tick) / TICKS * 1e3,
+        "one tick with all accused, ms": urgent,
+        "one look with all accused, ms": view,
+    }
+
+
+MEASURES: dict[str, tuple[tuple[int, ...], Callable[[int], Measured]]] = {
+    "servers on the list": (SERVERS, lambda size: asyncio.run(measure_list(size))),
+    "servers decided among": (SERVERS, measure_decisions),
+    "routers": (MEMBERS, measure_peers),
+}
+
+
+def run_apart(name: str, size: int) -> Measured:
+    """One run in a process of its own."""
+    command = [sys.executable, __file__, name, str(size)]
+    told: Measured = json.loads(subprocess.run(command, capture_output=True, check=True).stdout)
+    return told
+
+
+def shown(values: list[float]) -> str:
+    return f"{median(values):.3g} ({min(values):.3g} to {max(values):.3g})"
+
+
+def main(runs: int) -> None:
+    for name, (sizes, _) in MEASURES.items():
+        rows = {size: [run_apart(name, size) for _ in range(runs)] for size in sizes}
+        columns = list(rows[sizes[0]][0])
+        print(f"| {name} | {' | '.join(columns)} |")
+        print("|---" * (len(columns) + 1) + "|")
+        for size, found in rows.items():
+            cells = [shown([one[column] for one in found]) for column in columns]
+            print(f"| {size} | {' | '.join(cells)} |")
+        print()
+
+
+if __name__ == "__main__":
+    if len(sys.argv) == 3:
+        print(json.dumps(MEASURES[sys.argv[1]][1](int(sys.argv[2]))))
+    else:
+        main(int(sys.argv[1]) if len(sys.argv) == 2 else RUNS)
