Let the list service hold a connection for each of its callers

Cause: limits.callers is 5,000, but a replica kept the limit on descriptors that it was started with, 1,024 on most systems; past it accept fails and routers can't connect.

Change: a replica raises its own limit as far as limits.callers needs and the system lets it, at its start and at SIGHUP, and warns where that is less.

--- a/applehub/registry/__main__.py
+++ b/applehub/registry/__main__.py
@@ -15,6 +15,7 @@
 from applehub.events import Event, Writer
 from applehub.registry import raft
 from applehub.registry.config import Config, ConfigError, load
+from applehub.registry.descriptors import allow_callers
 from applehub.registry.host import Host
 from applehub.registry.server import Service
 from applehub.registry.store import Store, StoreError
@@ -25,6 +26,7 @@
 async def serve(config: Config, path: Path, events: Writer) -> None:
     """Runs until it is told to stop. Raises StoreError, and OSError where it can't listen."""
     loop, stopping = asyncio.get_running_loop(), asyncio.Event()
+    allow_callers(config.limits.callers)
     names = sorted(config.peers) or [config.name]
     timing = raft.Timing(
         int(config.timing.heartbeat_ms * MILLI),
@@ -57,6 +59,7 @@
     except ConfigError as problem:
         events.say(Event.RELOADED, taken=False, why=str(problem))
         return
+    allow_callers(config.limits.callers)
     service.retune(config)
     events.say(Event.RELOADED, taken=True)
 
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -1,8 +1,12 @@
 """Large fleets: 1,024 routers before 1,024 cache servers, in the module, among routers and on sockets."""
 
 import asyncio
+import contextlib
 import json
+import resource
+import sys
 from collections import Counter
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 from zlib import crc32
@@ -12,9 +16,10 @@
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
 from support import MILLI, SECOND, Router, fleet, settings
 from test_descriptors import caller_at, program
-from test_discovery import listing, whole_list
+from test_discovery import ROOT, listing, whole_list
 
 from applehub import interface as api
+from applehub.events import Event
 from applehub.node.discovery import Directory, Watch, read_endpoint
 from applehub.node.pool import Pools
 from applehub.peers.codec import MOST, MOST_KINDS, MOST_NAME, Kind, Packer, Peer, Standing, decode
@@ -25,6 +30,7 @@
 from applehub.policy.keys import DEALS_KEPT, KeyRanges
 from applehub.policy.servers import Server
 from applehub.registry import watches
+from applehub.registry.descriptors import allow_callers
 from applehub.registry.entries import Entries
 from applehub.registry.watches import Answers, Watchers
 from applehub.settings import read_names
@@ -350,6 +356,59 @@
     assert not watchers.waiting
 
 
+@contextlib.asynccontextmanager
+async def list_service(tmp_path: Path, limits: str) -> AsyncIterator[tuple[str, int]]:
+    """A replica that is started with few descriptors (`ulimit` with these words); gives its address."""
+    file = tmp_path / "replica.toml"
+    file.write_text(f'name = "a"\nstate_dir = "{tmp_path / "a"}"\n')
+    command = f'ulimit {limits} && exec "{sys.executable}" -m applehub.registry "{file}"'
+    running = await asyncio.create_subprocess_shell(
+        command, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE
+    )
+    assert running.stdout is not None and running.stderr is not None
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while (told := json.loads(await running.stdout.readline())).get("event") != Event.READY:
+                pass
+        host, _, port = told["address"].rpartition(":")
+        yield host, int(port)
+    finally:
+        running.terminate()
+        await asyncio.wait_for(running.communicate(), PATIENCE)
+
+
+async def test_a_list_service_started_with_few_descriptors_takes_more_callers(tmp_path: Path) -> None:
+    async with list_service(tmp_path, "-S -n 128") as address:
+        callers = [await asyncio.open_connection(*address) for _ in range(400)]
+        for _, writer in callers:
+            writer.write(b"GET /api/targets?from=0&hold_ms=x HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(PATIENCE):
+            answers = [await reader.readline() for reader, _ in callers]
+        assert set(answers) == {b"HTTP/1.1 400 Bad Request\r\n"}
+        for _, writer in callers:
+            writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("soft", "hard", "granted", "warned"),
+    [(1024, 4096, 1564, False), (1024, 1200, 1200, True), (2000, 4096, None, False), (-1, -1, None, False)],
+)
+def test_the_limit_on_descriptors_is_raised_as_far_as_the_system_lets(
+    soft: int,
+    hard: int,
+    granted: int | None,
+    warned: bool,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    given: list[tuple[int, int]] = []
+    monkeypatch.setattr(resource, "getrlimit", lambda of: (soft, hard))
+    monkeypatch.setattr(resource, "setrlimit", lambda of, limits: given.append(limits))
+    allow_callers(1500)
+    assert given == ([(granted, hard)] if granted else [])
+    assert ("limits.callers" in caplog.text) is warned
+
+
 # On sockets
 
 
