--- a/tests/measure_sizes.py
+++ b/tests/measure_sizes.py
@@ -27,6 +27,7 @@
 from applehub.peers.records import BOUNDS, Limit, Shares, Told, Verdict, digest
 from applehub.peers.speaker import Speaker
 from applehub.policy import Balancer
+from applehub.policy.keys import DEALS_KEPT
 from applehub.settings import read_names, read_settings
 
 RUNS = 5
@@ -77,6 +78,28 @@
     }
 
 
+async def measure_memory(servers: int) -> Measured:
+    """What a list takes in directory, pools and decisions; then with as many lists as are remembered."""
+    settings = read_settings({**info(), "balancers": servers})
+    listed = [entry(f"c{number}", f"10.0.{number // 200}.{number % 200}:6379") for number in range(servers)]
+    body = json.dumps({"rev": 1, "all": True, "targets": listed})
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    balancer = Balancer(settings, 1)
+    driver = Driver(balancer, Pools(64, 0.25, 60.0), 100, Figures())
+    directory = Directory(read_names(info()), 1, driver.pools, driver.tell)
+    directory.take(json.loads(body))
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] - before
+    for number in range(4 * DEALS_KEPT):
+        state = ("Terminating", "Ready")[number % 2]
+        directory.take({"rev": 2 + number, "all": False, "targets": [{**listed[0], "state": state}]})
+    gc.collect()
+    remembered = tracemalloc.get_traced_memory()[0] - before
+    assert len(balancer.roster.ranges.deals) == DEALS_KEPT
+    return {"held, kB": held / KILOBYTE, f"with {DEALS_KEPT} lists remembered, kB": remembered / KILOBYTE}
+
+
 def measure_decisions(servers: int) -> Measured:
     """Requests that each go to one cache server and are answered there."""
     settings = read_settings({**info(), "balancers": servers})
@@ -133,6 +156,7 @@
 
 MEASURES: dict[str, tuple[tuple[int, ...], Callable[[int], Measured]]] = {
     "servers on the list": (SERVERS, lambda size: asyncio.run(measure_list(size))),
+    "servers held": (SERVERS, lambda size: asyncio.run(measure_memory(size))),
     "servers decided among": (SERVERS, measure_decisions),
     "routers": (MEMBERS, measure_peers),
 }
