--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -20,8 +20,9 @@
 
 from applehub import interface as api
 from applehub.events import Event
-from applehub.node.discovery import Directory, Watch, read_endpoint
+from applehub.node.discovery import Directory, read_endpoint
 from applehub.node.pool import Pools
+from applehub.node.watch import Watch
 from applehub.peers.codec import MOST, MOST_KINDS, MOST_NAME, Kind, Packer, Peer, Standing, decode
 from applehub.peers.records import BOUNDS, MOST_SUBJECTS, Book, Limit, Shares, Told, Verdict, digest
 from applehub.peers.speaker import Speaker
