Play many routers' watches before a list service that answers in turn and late

Need: a service that handles calls in turn and answers late was played nowhere on the proving ground, and routers that give a call up early cost it a turn each.

--- a/applehub/lab/__main__.py
+++ b/applehub/lab/__main__.py
@@ -21,6 +21,7 @@
 from applehub.lab.compare import broken_rules, grouped, mean_losses, mean_of, paired, point_name, standing
 from applehub.lab.demand import demand_of
 from applehub.lab.fleet.commands import each_fault, fleet, judge_again, list_scale
+from applehub.lab.fleet.watch_commands import watches
 from applehub.lab.gossip_command import peers
 from applehub.lab.live.commands import demo, load
 from applehub.lab.play import stage
@@ -346,6 +347,7 @@
 main.add_command(judge_again)
 main.add_command(each_fault)
 main.add_command(list_scale)
+main.add_command(watches)
 main.add_command(peers)
 main.add_command(cold)
 
