--- a/applehub/lab/fleet/slow_registry.py
+++ b/applehub/lab/fleet/slow_registry.py
@@ -28,7 +28,7 @@
     answered: int = 0
     refused: int = 0
     wasted: int = 0  # took a turn, and the caller had closed the connection before the answer
-    left: int = 0  # watches without a turn, and silent ones, that the caller closed
+    left: int = 0  # closed by the caller at no cost: before its turn, or a watch without one, or a silent one
     cut: int = 0  # reset as the service went down
 
 
@@ -175,19 +175,20 @@
 
     async def _take_turn(self, call: _Call) -> bool:
         """Waits for the call's turn; False where it is refused."""
-        call.turn = self.queue.join()
-        if call.turn is None:
+        turn = call.turn = self.queue.join()
+        if turn is None:
             return False
-        begun = self.turns[call.turn] = self.loop.create_future()
+        begun = self.turns[turn] = self.loop.create_future()
         self._begin_turns()
         try:
             await begun
         except asyncio.CancelledError:
-            self.queue.abandon(call.turn)
+            if self.queue.abandon(turn):
+                call.turn = None
             self._plan_turn()
             raise
         finally:
-            self.turns.pop(call.turn, None)
+            del self.turns[turn]
         return True
 
     def _begin_turns(self) -> None:
--- a/applehub/lab/fleet/turns.py
+++ b/applehub/lab/fleet/turns.py
@@ -53,10 +53,12 @@
         self.waiting.append(turn)
         return turn
 
-    def abandon(self, turn: Turn) -> None:
-        """The caller has closed its connection; whether its turn is kept is the service's choice."""
-        if not self.service.abandoned_take_turns and turn in self.waiting:
+    def abandon(self, turn: Turn) -> bool:
+        """The caller has closed its connection while it waited; whether its turn goes to the next call."""
+        given_up = not self.service.abandoned_take_turns and turn in self.waiting
+        if given_up:
             self.waiting.remove(turn)
+        return given_up
 
     def next_at(self) -> float | None:
         """When the next turn comes; None where no call waits."""
