--- a/tests/test_slow_registry.py
+++ b/tests/test_slow_registry.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import orjson
+import psutil
 import pytest
 import virtual
 from click.testing import CliRunner
@@ -327,14 +328,17 @@
 
 
 def played(monkeypatch: pytest.MonkeyPatch, plan: WatchPlan, patience: float | None = None) -> Played:
-    """A whole play on the tests' clock: of the program's routers, or of small watches."""
+    """A whole play on the tests' clock, of routers or of small watches, that leaves nothing open."""
     found: list[Played] = []
 
     async def run() -> None:
+        before = psutil.Process().num_fds()
         if patience is None:
             found.append(await play(plan))
         else:
             found.append(await play(plan, lambda *told: SmallWatch(patience, *told)))
+        await asyncio.sleep(0.01)  # until all is read that ends a connection
+        assert psutil.Process().num_fds() == before
 
     virtual.play(monkeypatch, run)
     return found[0]
