Tell watches of a change one by one, so that work of the lab lets none lapse

Need: a change was told to all watches in one go. In one process the answers of 230 routers were then read before any of them could ask again, and all 230 came later than 200 ms: the lab's own doing.

Change: the stand-in ends one hold in each turn of the loop.

--- a/applehub/lab/fleet/slow_registry.py
+++ b/applehub/lab/fleet/slow_registry.py
@@ -93,7 +93,8 @@
         self.lines: set[_Line] = set()
         self.server: asyncio.Server | None = None
         self.turns: dict[Turn, asyncio.Future[None]] = {}
-        self.watches: set[asyncio.Future[bool]] = set()  # held; the result tells whether one fell silent
+        self.watches: dict[asyncio.Future[bool], None] = {}  # held; the result tells whether one fell silent
+        self.telling: set[asyncio.Task[None]] = set()
         self.timer: asyncio.TimerHandle | None = None
         # Bound and never listening: it keeps the port, which refuses connections, while the service is down.
         self.port_holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -116,18 +117,28 @@
         place = self.version % len(self.entries)
         self.entries[place] = {**self.entries[place], "pod_group": self.version}
         self.changed_in[place] = self.version
-        self._end_holds(silent=False)
+        telling = self.loop.create_task(self._tell(self._take_watches()))
+        self.telling.add(telling)
+        telling.add_done_callback(self.telling.discard)
         return self.version
 
+    async def _tell(self, watches: list[asyncio.Future[bool]]) -> None:
+        """Ends the holds one by one. Where many callers share a process, each can go on right after its own
+        answer; told all at once, the last would have to wait for the work of all others."""
+        for held in watches:
+            if not held.done():
+                held.set_result(False)
+                await asyncio.sleep(0)
+
     def fall_silent(self) -> None:
         """All watches that are held now are never answered; their connections stay open."""
-        self._end_holds(silent=True)
-
-    def _end_holds(self, silent: bool) -> None:
-        watches, self.watches = self.watches, set()
-        for held in watches:
+        for held in self._take_watches():
             if not held.done():
-                held.set_result(silent)
+                held.set_result(True)
+
+    def _take_watches(self) -> list[asyncio.Future[bool]]:
+        watches, self.watches = list(self.watches), {}
+        return watches
 
     def go_down(self) -> None:
         """Resets all connections and refuses new ones, until `come_back`."""
@@ -216,14 +227,14 @@
         until = self.loop.time() + (query.hold or 0.0)
         while query.since == self.version and (left := until - self.loop.time()) > 0:
             held: asyncio.Future[bool] = self.loop.create_future()
-            self.watches.add(held)
+            self.watches[held] = None
             try:
                 async with asyncio.timeout(left):
                     call.silent = await held
             except TimeoutError:
                 return
             finally:
-                self.watches.discard(held)
+                self.watches.pop(held, None)
             if call.silent:
                 await self.loop.create_future()
 
