Count a client's time from the arrival of its last byte, not from its taking up

Need: the deadline was fixed when a command was taken up. What had waited before that was told to servers as time that the client still had: bytes in the system while the loop was busy, behind a paused read, in the buffer behind a full pipeline, in the listener's queue. Where the loop stood still for 0.5 s, a client that allowed 900 ms was told as 890, 400 left.

Change: node/arrivals.py. The event loop keeps when it looked at its sockets, so that each read has a moment before which none of its bytes came: the look before the one that found them, the pause of a read, the first turn that saw the listener's queue. Where that is more than 5 ms before the look, Linux's TCP_INFO tells when the last byte came; only the last command of a read counts from that, and only with nothing unread behind it. Commands in the buffer keep the time of the read that completed them. The driver counts from there, and refuses at once a call with nothing left, of which the decisions never hear. An attempt with less than 1 ms left when it would be written is handed back (it was written, 1 ms told), and the origin's list is made at the write, as the caches' is. An event loop that does not keep its looks is refused, so the tests run on the router's.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -13,6 +13,7 @@
 
 from applehub import interface as api
 from applehub.interface import Settings
+from applehub.node.arrivals import Loop
 from applehub.node.byhand import ByHand
 from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
@@ -373,7 +374,8 @@
     try:
         told = read_configuration(path)
         gc.freeze()
-        asyncio.run(serve(told, path))
+        with asyncio.Runner(loop_factory=Loop) as runner:
+            runner.run(serve(told, path))
     except ConfigurationError as problem:
         print(f"applehub: {problem}", file=sys.stderr)
         return 2
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -15,12 +15,18 @@
 PLAIN = re.compile(rb"[!-~]+")  # fit for a list of names and values, and for an HTTP header
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # of a load report
 MOST_WAIT = 3_600_000  # ms
+MILLI = 1_000_000
+LEAST_TOLD = MILLI  # ns; time left is told in whole milliseconds, and none is nothing to tell
 
 
 class CallError(ValueError):
     """A command that is whole but makes no sense."""
 
 
+class NoTimeLeftError(Exception):
+    """The time of an attempt is over before any of it was written."""
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """One command of a client; key, id, info and value go on as they came."""
@@ -80,11 +86,13 @@
     begin_by: float = math.inf  # monotonic ns from which on none of it may be written any more
 
     def info(self) -> bytes:
-        """The list of names and values as the peer is to read it now.
+        """The list of names and values as the peer is to read it now; raises NoTimeLeftError.
 
-        Its `d` tells the milliseconds, at least one, that are left of the time that the router waits."""
-        left = max(1, (self.until - time.monotonic_ns()) // 1_000_000)
-        return self.call.info_for(left)
+        Its `d` tells the whole milliseconds that are left of the time that the router waits."""
+        left = self.until - time.monotonic_ns()
+        if left < LEAST_TOLD:
+            raise NoTimeLeftError
+        return self.call.info_for(left // MILLI)
 
 
 def read_call(parts: list[bytes], names: Names) -> Call:
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -11,6 +11,7 @@
 from typing import cast
 
 from applehub.node import resp
+from applehub.node.arrivals import Arrivals, Queue, has_unread, looks_of_running_loop
 from applehub.node.call import CallError, read_call
 from applehub.node.descriptors import Places
 from applehub.node.driver import Driver, Held
@@ -71,8 +72,10 @@
 class Client(Reader):
     """One connection of a client."""
 
-    def __init__(self, server: "Clients") -> None:
+    def __init__(self, server: "Clients", since: int) -> None:
+        """`since` is the time before which it can't have sent anything."""
         self.server = server
+        self.arrivals = Arrivals(server.looks, since)
         self.frames = resp.Frames(self._admit)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
@@ -87,6 +90,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.arrivals.resume()
         # asyncio sets it for dialled connections alone; one whose peer is gone already takes no option.
         with contextlib.suppress(OSError):
             line = self.transport.get_extra_info("socket")
@@ -99,8 +103,9 @@
         self._await_command()
 
     def data_received(self, data: bytes) -> None:
-        if self.phase is not Phase.OPEN:
+        if self.phase is not Phase.OPEN or self.transport is None:
             return
+        self.arrivals.note(len(data), self.transport.get_extra_info("socket"))
         if self.frames.in_value:
             self._forgive()  # a value may take its time, as long as it comes
         self.frames.feed(data)
@@ -236,9 +241,7 @@
     def _more_comes(self) -> bool:
         """Whether the system holds something of this client, which is read before the sending ends."""
         assert self.transport is not None
-        arrived = select.poll()
-        arrived.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(arrived.poll(0))
+        return has_unread(self.transport.get_extra_info("socket"))
 
     def make_room(self) -> None:
         """Ends this idle connection in favour of another."""
@@ -283,6 +286,7 @@
             while self.phase is Phase.OPEN and not self.blocked and len(self.slots) < MOST_PIPELINED:
                 parts = self.frames.next()
                 if parts is resp.WAITING:
+                    self.arrivals.forget()
                     break
                 self._command(parts)
         except resp.FramingError as problem:
@@ -343,7 +347,8 @@
             return
         slot = self._slot()
         try:
-            held = self.server.driver.take(call, slot)
+            arrived = self.arrivals.of_last_before(len(self.frames.buffer))
+            held = self.server.driver.take(call, slot, arrived)
             slot.held = held if slot.answer is None else None
         except Exception:
             log.exception("a call could not be taken")
@@ -367,8 +372,10 @@
         full = self.phase is Phase.OPEN and (self.blocked or len(self.slots) >= MOST_PIPELINED)
         if full:
             self.transport.pause_reading()
+            self.arrivals.pause()
         else:
             self.transport.resume_reading()
+            self.arrivals.resume()
         self.server.unread(self, full)
         self._count()
         if self.server.driver.room.over and self.buffered > resp.MOST_VALUE:
@@ -392,6 +399,7 @@
 
     def __init__(self, driver: Driver, names: Names, places: Places) -> None:
         self.driver, self.names, self.places = driver, names, places
+        self.looks = looks_of_running_loop()
         self.open: set[Client] = set()
         self.ending: dict[Client, None] = {}  # their sending has ended, or they have left; oldest first
         self._unread: set[Client] = set()  # not read for now: whether they have left has to be looked for
@@ -418,13 +426,17 @@
         # Guards the descriptors: asyncio lets in as many in one turn as may queue, before the first of them
         # can be turned away. So it is told of a few, and the system of the true length of the queue.
         few = self.places.let_in
-        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=few)
+        self._queue = Queue(self.looks, few, inherited is not None)
+        self._server = await loop.create_server(self._let_in, sock=listener, backlog=few)
         listener.listen(BACKLOG)
         # What another process shares goes on being let in there.
         self._listener = listener if inherited is None else None
         address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return address
 
+    def _let_in(self) -> Client:
+        return Client(self, self._queue.let_in())
+
     def room(self) -> bool:
         """Whether one more connection may stay; the longest idle one makes room for it."""
         if len(self.open) < self.places.clients:
@@ -492,7 +504,7 @@
             while self._listener is not None and len(waiting) < self.places.ending:
                 line, _ = self._listener.accept()
                 line.setblocking(False)
-                waiting.append(loop.connect_accepted_socket(lambda: Client(self), line))
+                waiting.append(loop.connect_accepted_socket(self._let_in, line))
         self.hand_over()
         await asyncio.gather(*waiting, return_exceptions=True)
         self.close()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -11,14 +11,13 @@
 
 from applehub import interface as api
 from applehub.node import resp
-from applehub.node.call import Call, Carrier, Ending, Exchange
+from applehub.node.call import LEAST_TOLD, MILLI, Call, Carrier, Ending, Exchange
 from applehub.node.figures import Answered, Figures
 from applehub.node.pool import Pools
 from applehub.node.room import Room
 from applehub.node.stream import Source, Stream
 from applehub.policy import Balancer
 
-MILLI = 1_000_000
 SECOND = 1_000_000_000
 WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
 log = logging.getLogger("applehub")
@@ -80,23 +79,26 @@
         self._events: deque[api.Event] = deque()
         self._playing = False
 
-    def take(self, call: Call, reply: Reply) -> Held | None:
-        """Takes a client's call; reply is told once. None where it is answered already."""
+    def take(self, call: Call, reply: Reply, arrived: int) -> Held | None:
+        """Takes a client's call; reply is told once. None where it is answered already.
+
+        What the client allows counts from `arrived`, the time at which the last byte of the call came."""
         name = call.id.decode()
         if name in self.held:
             self.figures.answered(call.kind, Answered.ERRORS)
             reply.fill(resp.error("this id is in use"))
             return None
-        if call.value is resp.DROPPED or len(self.held) >= self.most_held or not self.room.reserve(call.size):
+        spec = self.balancer.settings.classes[call.cls]
+        until = arrived + (spec.deadline if call.wait is None else call.wait * MILLI)
+        until = min(until, self.stop_at or until)
+        left = until - WAY_BACK - time.monotonic_ns()
+        full = call.value is resp.DROPPED or len(self.held) >= self.most_held
+        if left < LEAST_TOLD or full or not self.room.reserve(call.size):
             self.figures.answered(call.kind, Answered.SHED)
             reply.fill(resp.refused(-(-self.balancer.come_back // MILLI)))  # not begun: repeating is harmless
             return None
-        now = time.monotonic_ns()
-        spec = self.balancer.settings.classes[call.cls]
-        until = now + (spec.deadline if call.wait is None else call.wait * MILLI)
-        until = min(until, self.stop_at or until)
         held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
-        log.debug("%s taken: %s, %d ms", name, call.info.decode(), (until - now) // MILLI)
+        log.debug("%s taken: %s, %d ms", name, call.info.decode(), (left + WAY_BACK) // MILLI)
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -30,7 +30,7 @@
         call = exchange.call
         headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", exchange.info())]
         target = f"/{quote_from_bytes(call.key, safe='')}".encode()
-        return self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
+        yield from self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
 
     def _open(self, size: int) -> Callable[[bytes], None] | None:
         stream = self.exchange.opened(size, self) if self.exchange and size <= MOST_LONG else None
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from applehub.interface import Status
-from applehub.node.call import Ending, Exchange
+from applehub.node.call import Ending, Exchange, NoTimeLeftError
 from applehub.node.stream import Reader
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
@@ -42,7 +42,8 @@
 
     @abstractmethod
     def encode(self, exchange: Exchange) -> Iterator[bytes | memoryview]:
-        """What to write for an attempt, piece by piece."""
+        """What to write for an attempt, piece by piece, each made when it is written; the first raises
+        NoTimeLeftError where the time of the attempt is over."""
 
     @abstractmethod
     def read(self, data: bytes) -> None:
@@ -68,6 +69,8 @@
                 self.begun = True
                 if self.transport.is_closing():
                     return  # a write that failed at once handed nothing over: what it asked for never ran
+        except NoTimeLeftError:
+            self.hand_back()
         except Exception:
             log.exception("an attempt could not be written")
             self.finish(Ending(Status.MOOT), reusable=False)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from applehub.node import arrivals
+
 SETTLED = 0.001  # s of real time without a sign on any socket after which what was sent has arrived
 STUCK = 30.0  # s of real time with no timer and nothing to read: the test waits in vain
 
@@ -30,11 +32,15 @@
         return ready
 
 
-class Loop(asyncio.SelectorEventLoop):
+class _Looks(arrivals.Looks, _Selector):
+    """The same, which keeps when it looked."""
+
+
+class Loop(arrivals.Loop):
     """An event loop on that clock, in seconds."""
 
     def __init__(self) -> None:
-        selector = _Selector()
+        selector = _Looks()
         selector.skip = self._skip
         self.now = 1000.0
         super().__init__(selector)
