Give two tests of attempts a time that is not over

Cause: both handed the pool an attempt with until=9000, which they meant as milliseconds; it is a time on the monotonic clock in nanoseconds, so long over. An attempt without time is not written any more: one failed (moot in place of full), and the other passed without the write it is about. Both get 9 s from now; what they assert is unchanged.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -188,7 +188,8 @@
         server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
         pool.endpoint = server.sockets[0].getsockname()[:2]
         call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, "put", 0, 9000, False)
-        pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
+        until = time.monotonic_ns() + 9_000_000_000
+        pool.start(Exchange(call, until, lambda ending: statuses.append(ending.status)))
         await soon(lambda: statuses)
         assert statuses == [api.Status.MOOT]  # never ran, and the server took the connection
         server.close()
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -306,7 +307,8 @@
         pool.endpoint = server.sockets[0].getsockname()[:2]
         call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, "put", 0, 9000, False)
         statuses: list[api.Status] = []
-        pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
+        until = time.monotonic_ns() + 9 * SECOND
+        pool.start(Exchange(call, until, lambda ending: statuses.append(ending.status)))
         await soon(lambda: statuses)
         assert statuses == [api.Status.FULL] and not pool.all and bench.pools.written == 0
         server.close()
