Cut the clients' connections from their listener, and look for unread bytes in one place

Need: node/clients.py held the connection and the registry of all connections, two watches over a client that reads nothing, and a look for unread bytes that pool.py had again.

Change: node/listener.py lets clients in and keeps them; node/clients.py is one connection, which names what it needs of the server in a protocol. The two watches are one, since the one for blocked connections never saw all bytes read. node/unread.py looks for unread bytes for clients, servers and arrivals. Tests take IDLE_LEAST, Clients and inherited_listener from the new module; no assertion changed.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -15,12 +15,12 @@
 from applehub.interface import Settings
 from applehub.node.arrivals import Loop
 from applehub.node.byhand import ByHand
-from applehub.node.clients import Clients
 from applehub.node.console import CallError, Console, Handler
 from applehub.node.descriptors import Places, share_out
 from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.listener import Clients
 from applehub.node.pool import Endpoint, Pools
 from applehub.node.shared import Shared
 from applehub.policy import Balancer
--- a/applehub/node/arrivals.py
+++ b/applehub/node/arrivals.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import select
 import selectors
 import socket
 import struct
@@ -17,6 +16,7 @@
 from typing import Protocol
 
 from applehub.node.stream import PIECE
+from applehub.node.unread import Unread
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
@@ -89,13 +89,6 @@
         """An option, as the system gives it."""
 
 
-def has_unread(line: Line) -> bool:
-    """Whether the system holds data of this connection that was not read, or its end."""
-    arrived = select.poll()
-    arrived.register(line.fileno(), select.POLLIN)
-    return bool(arrived.poll(0))
-
-
 def silent_for(line: Line) -> int | None:
     """The milliseconds since the system last received data on a connection; None where it does not tell."""
     try:
@@ -158,7 +151,7 @@
         """When the last byte that was read arrived, by the system's account; 0 where that is not known."""
         silence, now = silent_for(line), time.monotonic_ns()
         # What is unread came later than the bytes that were read: the account tells of it, and not of them.
-        return 0 if silence is None or has_unread(line) else now - (silence + TICK) * MILLI
+        return 0 if silence is None or Unread(line).waits() else now - (silence + TICK) * MILLI
 
     def of_last_before(self, unused: int) -> int:
         """The arrival of the last byte in front of those that are still unused, so many of those received."""
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -1,31 +1,26 @@
-"""The clients' side: a RESP server that answers each connection's commands in their order."""
+"""A client's connection: takes up RESP commands and answers them in their order."""
 
 import asyncio
 import contextlib
 import logging
-import select
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
 from enum import Enum
-from typing import cast
+from typing import Protocol, cast
 
 from applehub.node import resp
-from applehub.node.arrivals import Arrivals, Queue, has_unread, looks_of_running_loop
+from applehub.node.arrivals import Arrivals, Looks
 from applehub.node.call import CallError, read_call
-from applehub.node.descriptors import Places
 from applehub.node.driver import Driver, Held
 from applehub.node.room import LONG_PART
 from applehub.node.stream import Reader, Stream
+from applehub.node.unread import Unread
 from applehub.settings import Names
 
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
 STUCK = 10.0  # s for which a client may leave answers unread
 PROMPT = 2.5  # s in which a peer must send a whole command, once it has connected or begun one
-BACKLOG = 1024  # clients that wait to be let in
-IDLE_LEAST = 2.0  # s without a request after which a connection may be closed to make room for another
 LINGER = 1.0  # s for which a client that has its last answer may go on sending
-LOOK = 0.05  # s between looks at whether a client that is not being read has left
 log = logging.getLogger("applehub")
 
 
@@ -69,10 +64,36 @@
             self.fill(resp.FAILED)
 
 
+class Server(Protocol):
+    """What a connection needs of the server that let it in."""
+
+    driver: Driver
+    names: Names
+    looks: Looks
+    parting: bool  # each connection ends after an answer
+    closing: bool  # each connection ends once it rests
+    open: "set[Client]"
+
+    def can_serve(self) -> bool:
+        """Whether there are servers to send requests to."""
+
+    def room(self) -> bool:
+        """Whether one more connection may stay."""
+
+    def unread(self, client: "Client", unread: bool) -> None:
+        """Notes whether a connection is read."""
+
+    def ended(self, client: "Client") -> None:
+        """Notes that nothing more is taken from a client."""
+
+    def gone(self, client: "Client") -> None:
+        """Notes that a connection is closed."""
+
+
 class Client(Reader):
     """One connection of a client."""
 
-    def __init__(self, server: "Clients", since: int) -> None:
+    def __init__(self, server: Server, since: int) -> None:
         """`since` is the time before which it can't have sent anything."""
         self.server = server
         self.arrivals = Arrivals(server.looks, since)
@@ -122,7 +143,7 @@
     def eof_received(self) -> None:
         self._depart()  # before what is written has gone out, which may take a while; then it is closed
         if self.transport is not None and self.transport.get_write_buffer_size():
-            self._close_later()
+            self._await_reader()
 
     def left(self) -> None:
         """The client has left while it was not being read. Reading on comes to the end that it sent."""
@@ -158,18 +179,22 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
-        self._await_reader(-1)
+        self._await_reader()
         self._steer()
 
-    def _await_reader(self, before: int) -> None:
-        """Ends a connection whose client has read nothing for some time; a slow one is waited for."""
+    def _await_reader(self, before: int = -1) -> None:
+        """Ends a connection whose client has read nothing for some time; a slow one is waited for. Where all
+        is read, which only one that is on its way out waits for, it ends a little later."""
         if self.transport is None:
             return
         unread = self.transport.get_write_buffer_size()
         if unread == before:
             self.cut()
-        else:
-            self.stuck = asyncio.get_running_loop().call_later(STUCK, self._await_reader, unread)
+            return
+        if self.stuck is not None:
+            self.stuck.cancel()
+        patience = STUCK if unread else LINGER
+        self.stuck = asyncio.get_running_loop().call_later(patience, self._await_reader, unread)
 
     def resume_writing(self) -> None:
         self.blocked = False
@@ -241,7 +266,7 @@
     def _more_comes(self) -> bool:
         """Whether the system holds something of this client, which is read before the sending ends."""
         assert self.transport is not None
-        return has_unread(self.transport.get_extra_info("socket"))
+        return Unread(self.transport.get_extra_info("socket")).waits()
 
     def make_room(self) -> None:
         """Ends this idle connection in favour of another."""
@@ -265,20 +290,7 @@
         if not self.transport.is_closing():
             self.transport.write_eof()
             self.transport.resume_reading()
-            self._close_later()
-
-    def _close_later(self, before: int = -1) -> None:
-        """Closes once the client has had time to read all, or reads nothing any more."""
-        if self.transport is None:
-            return
-        unread = self.transport.get_write_buffer_size()
-        if unread == before:
-            self.cut()
-            return
-        if self.stuck is not None:
-            self.stuck.cancel()
-        patience = STUCK if unread else LINGER
-        self.stuck = asyncio.get_running_loop().call_later(patience, self._close_later, unread)
+            self._await_reader()
 
     def _take_up(self) -> None:
         """Takes up the commands that have come, as many as may be in work at once."""
@@ -380,145 +392,3 @@
         self._count()
         if self.server.driver.room.over and self.buffered > resp.MOST_VALUE:
             self.transport.abort()
-
-
-def inherited_listener(descriptor: int) -> socket.socket:
-    """The listening socket behind a descriptor; raises an OSError that says what is there instead."""
-    try:
-        listener = socket.socket(fileno=descriptor)
-    except OSError as problem:
-        raise OSError(f"the inherited descriptor {descriptor} is no socket: {problem.strerror}") from None
-    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-        listener.detach()  # it is the platform's
-        raise OSError(f"the inherited descriptor {descriptor} is a socket that listens nowhere")
-    return listener
-
-
-class Clients:
-    """The listener and its connections."""
-
-    def __init__(self, driver: Driver, names: Names, places: Places) -> None:
-        self.driver, self.names, self.places = driver, names, places
-        self.looks = looks_of_running_loop()
-        self.open: set[Client] = set()
-        self.ending: dict[Client, None] = {}  # their sending has ended, or they have left; oldest first
-        self._unread: set[Client] = set()  # not read for now: whether they have left has to be looked for
-        self._looking = False
-        self.can_serve: Callable[[], bool] = lambda: False
-        self.parting = self.closing = False
-        self._empty = asyncio.Event()
-        self._listener: socket.socket | None = None
-        self._server: asyncio.Server | None = None
-
-    @property
-    def accepting(self) -> bool:
-        return self._server is not None and self._server.is_serving()
-
-    async def listen(self, host: str, port: int, inherited: int | None = None) -> tuple[str, int]:
-        """Listens on an address, or on a listening socket that the platform holds and other processes share:
-        that is only ever closed here, never shut down."""
-        loop = asyncio.get_running_loop()
-        if inherited is None:
-            family = socket.AF_INET6 if ":" in host else socket.AF_INET
-            listener = socket.create_server((host, port), family=family)
-        else:
-            listener = inherited_listener(inherited)
-        # Guards the descriptors: asyncio lets in as many in one turn as may queue, before the first of them
-        # can be turned away. So it is told of a few, and the system of the true length of the queue.
-        few = self.places.let_in
-        self._queue = Queue(self.looks, few, inherited is not None)
-        self._server = await loop.create_server(self._let_in, sock=listener, backlog=few)
-        listener.listen(BACKLOG)
-        # What another process shares goes on being let in there.
-        self._listener = listener if inherited is None else None
-        address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
-        return address
-
-    def _let_in(self) -> Client:
-        return Client(self, self._queue.let_in())
-
-    def room(self) -> bool:
-        """Whether one more connection may stay; the longest idle one makes room for it."""
-        if len(self.open) < self.places.clients:
-            return True
-        before = asyncio.get_running_loop().time() - IDLE_LEAST
-        idle = [one for one in self.open if one.idle_since < before and not one.slots and one.proven]
-        oldest = min(idle, key=lambda one: one.idle_since, default=None)
-        if oldest is None:
-            return False
-        oldest.make_room()
-        return True
-
-    def ended(self, client: Client) -> None:
-        """Nothing more is taken from a client; its descriptor goes in a moment. Guards the descriptors: where
-        too many are on their way out, the oldest of them goes now."""
-        self.open.discard(client)
-        self._unread.discard(client)
-        self.ending[client] = None
-        if len(self.ending) > self.places.ending:
-            oldest = next(iter(self.ending))
-            del self.ending[oldest]
-            oldest.cut()
-
-    def gone(self, client: Client) -> None:
-        self.ending.pop(client, None)
-        self.driver.room.free(client.buffered + client.reserved)
-        client.buffered = client.reserved = 0
-        if self.parting and not self.open and not self.ending:
-            self._empty.set()
-
-    def unread(self, client: Client, unread: bool) -> None:
-        """Notes whether a client is read. One that is not shows no end of its stream by itself."""
-        (self._unread.add if unread else self._unread.discard)(client)
-        if self._unread and not self._looking:
-            self._looking = True
-            asyncio.get_running_loop().call_later(LOOK, self._look)
-
-    def _look(self) -> None:
-        """Looks who of those has left. Guards servers against work for clients that have gone: what they sent
-        stands unread before the end of their streams."""
-        looks, clients = select.poll(), {}
-        for client in self._unread:
-            if client.transport is not None:
-                descriptor = client.transport.get_extra_info("socket").fileno()
-                clients[descriptor] = client
-                looks.register(descriptor, select.POLLRDHUP)  # a break is told unasked
-        for descriptor, _ in looks.poll(0) if clients else ():
-            clients[descriptor].left()
-        self._looking = bool(self._unread)
-        if self._looking:
-            asyncio.get_running_loop().call_later(LOOK, self._look)
-
-    def hand_over(self) -> None:
-        """Stops listening, since another process lets clients in; each connection ends after an answer."""
-        self.parting = True
-        if self._server is not None:
-            self._server.close()
-
-    async def shut(self) -> None:
-        """Closes, with those let in who stand in the listener's queue. Guards requests that the system has
-        taken: a listener that closes resets what waits there."""
-        loop = asyncio.get_running_loop()
-        waiting: list[Awaitable[object]] = []
-        with contextlib.suppress(OSError):  # nobody waits any more
-            while self._listener is not None and len(waiting) < self.places.ending:
-                line, _ = self._listener.accept()
-                line.setblocking(False)
-                waiting.append(loop.connect_accepted_socket(self._let_in, line))
-        self.hand_over()
-        await asyncio.gather(*waiting, return_exceptions=True)
-        self.close()
-
-    def close(self) -> None:
-        """Stops listening; each connection ends after its last answer, idle ones at once."""
-        self.hand_over()
-        self.closing = True
-        for client in list(self.open):
-            client.advance()
-        if not self.open and not self.ending:
-            self._empty.set()
-
-    async def emptied(self, patience: float) -> None:
-        """Waits until every connection has ended, or for so many seconds."""
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._empty.wait(), patience)
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import logging
-import select
 import socket
 import time
 from abc import abstractmethod
@@ -13,6 +12,7 @@
 from applehub.interface import Status
 from applehub.node.call import Ending, Exchange, NoTimeLeftError
 from applehub.node.stream import Reader
+from applehub.node.unread import Unread
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
 IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
@@ -104,7 +104,7 @@
         """Whether nothing has come that was not asked for. Guards against an end, or a second answer, that
         the system holds and nobody has read yet: a request behind it is lost, or takes it for its own."""
         up = self.transport is not None and not self.transport.is_closing()
-        return up and not self.arrivals.poll(0)
+        return up and not self.unread.waits()
 
     def pause(self) -> None:
         if self.transport is not None:
@@ -148,8 +148,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.taken = True
-        self.arrivals = select.poll()
-        self.arrivals.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.unread = Unread(self.transport.get_extra_info("socket"))
         self.transport.set_write_buffer_limits(0)  # so that every byte that waits here is told
         if self.exchange is None:
             self.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -8,11 +8,11 @@
 
 import hiredis
 
-from applehub.node.clients import Clients
 from applehub.node.descriptors import Places
 from applehub.node.discovery import Directory
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.listener import Clients
 from applehub.node.pool import Pools
 from applehub.node.resp import command
 from applehub.settings import read_ceilings, read_names, read_settings
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -17,8 +17,9 @@
 from virtual import Loop, play
 
 from applehub.node import arrivals, clients, resp
-from applehub.node.clients import Clients
+from applehub.node.listener import Clients
 from applehub.node.pool import Connection
+from applehub.node.unread import Unread
 from applehub.policy.throttle import Throttle
 
 WAIT = 900  # ms that the clients of these tests allow
@@ -624,13 +625,13 @@
         arrivals.Looks() as looks,
     ):
         sender.sendall(b"ab")
-        assert of.recv(1) == b"a" and arrivals.has_unread(of)
+        assert of.recv(1) == b"a" and Unread(of).waits()
         looks.looked = time.monotonic_ns()
         looks.since = looks.looked - 300 * arrivals.MILLI
         came = arrivals.Arrivals(looks, looks.since)
         came.note(1, of)
         assert came.of_last_before(0) == looks.since
-        assert of.recv(1) == b"b" and not arrivals.has_unread(of)
+        assert of.recv(1) == b"b" and not Unread(of).waits()
         came.note(1, of)
         assert came.of_last_before(1) == looks.since
         assert came.of_last_before(0) > looks.looked - (SLACK + arrivals.TICK) * arrivals.MILLI
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -11,7 +11,7 @@
 from peers import MISS, Bench, hit, http, router, soon
 from virtual import play
 
-from applehub.node import clients, resp
+from applehub.node import clients, listener, resp
 
 GET = resp.command(b"C.GET", b"k", b"i1", b"c=read,t=acme,d=9000")
 PING, PONG = resp.command(b"PING"), b"+PONG\r\n"
@@ -171,7 +171,7 @@
 
 def test_a_client_too_many_that_has_asked_already_reads_why(monkeypatch: pytest.MonkeyPatch) -> None:
     """It was closed over its request, and saw a reset in place of the line."""
-    monkeypatch.setattr(clients, "IDLE_LEAST", 1e9)
+    monkeypatch.setattr(listener, "IDLE_LEAST", 1e9)
 
     async def test() -> None:
         async with router(sockets=1) as bench, raw(bench):
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -11,8 +11,8 @@
 
 from applehub.__main__ import ConfigurationError, read_configuration
 from applehub.node import console
-from applehub.node.clients import inherited_listener
 from applehub.node.console import CallError, Console
+from applehub.node.listener import inherited_listener
 
 
 def refuse(_: str) -> str:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,7 +12,7 @@
 from peers import LET_IN, MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
-from applehub.node import clients, pool, resp
+from applehub.node import clients, listener, pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import WAY_BACK, Held
 
@@ -570,7 +570,7 @@
 
 async def test_an_idle_client_makes_room_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
     """ticket7341: connections that nobody used any more filled the places of new clients."""
-    monkeypatch.setattr(clients, "IDLE_LEAST", 0.0)
+    monkeypatch.setattr(listener, "IDLE_LEAST", 0.0)
     async with router(lambda asked, line: None, sockets=2) as bench:
         idle, busy = await bench.caller(), await bench.caller()
         idle.send(b"PING")
@@ -588,7 +588,7 @@
 async def test_a_client_too_many_is_told_so_and_its_place_is_free_again_later(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(clients, "IDLE_LEAST", 2 * PATIENCE)
+    monkeypatch.setattr(listener, "IDLE_LEAST", 2 * PATIENCE)
     async with router(sockets=2) as bench:
         for _ in range(2):
             caller = await bench.caller()
