Hold the tests of arrivals to what was measured, not to how fast the machine is

Lower bounds on the real clock now count from the moment the server got the request and the moment the test sent it (or the loop last looked), with 16 ms for the account's 10, a tick and two roundings; upper bounds are as they were. That a late request is refused at once is held on the clock of the tests, and that it is never sent on both. How many of 300 callers the decisions send is no subject of this test: one at least, and never one whose time is over.

A call that is not taken up says so in the debug log, with the time it had left.

--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -94,6 +94,7 @@
         left = until - WAY_BACK - time.monotonic_ns()
         full = call.value is resp.DROPPED or len(self.held) >= self.most_held
         if left < LEAST_TOLD or full or not self.room.reserve(call.size):
+            log.debug("%s not taken: %d ms left", name, (left + WAY_BACK) // MILLI)
             self.figures.answered(call.kind, Answered.SHED)
             reply.fill(resp.refused(-(-self.balancer.come_back // MILLI)))  # not begun: repeating is harmless
             return None
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -25,7 +25,9 @@
 WAIT = 900  # ms that the clients of these tests allow
 STILL = 0.5  # s for which the loop stands still, or a command waits unread
 GONE = int(STILL * 1000)
-SLACK = 60  # ms by which a busy machine may hold up what is measured on the real clock
+SLACK = 60  # ms that may pass on the clock of `virtual` while a test waits for something
+BACK = 8  # ms that the router keeps for the way of an answer
+SHORT = 16  # ms by which a time that the system's account gave may be short: 10, a tick of 4, two roundings
 BUSY = b"-BUSY\r\n"
 
 
@@ -48,6 +50,26 @@
     return {command[2]: time_told(command[3]) for command in bench.cache.got}
 
 
+class Receipts:
+    """Cache servers that answer at once and note when they got each request."""
+
+    def __init__(self) -> None:
+        self.times: dict[bytes, float] = {}
+
+    def __call__(self, asked: Any, peer: asyncio.StreamWriter) -> bytes:
+        self.times[asked[2]] = time.monotonic()
+        return hit()
+
+    def least(self, name: bytes, since: float, short: int = 1) -> int:
+        """What has to be told at least of a request that allows WAIT and counts from then."""
+        return WAIT - int((self.times[name] - since) * 1000) - BACK - short
+
+
+def last_look() -> float:
+    """When the loop last looked at its sockets, in seconds."""
+    return arrivals.looks_of_running_loop().looked / 1e9
+
+
 def told_to_origin(bench: Bench) -> list[int]:
     return [time_told(headers[b"x-call-info"]) for _, _, headers, _ in bench.origin.got]
 
@@ -131,40 +153,50 @@
 
 async def test_bytes_that_wait_while_the_loop_stands_still_count_from_their_arrival(account: bool) -> None:
     """Told 890 ms where 400 were left."""
-    async with router() as bench, in_use(bench) as client:
+    got = Receipts()
+    async with router(got) as bench, in_use(bench) as client:
+        looked, sent = last_look(), time.monotonic()
         client.sendall(get())
         time.sleep(STILL)
         assert await read(client) == b"$1\r\nv\r\n"
-        assert WAIT - GONE - SLACK <= told(bench)[b"i1"] <= WAIT - GONE
+        least = got.least(b"i1", sent, SHORT) if account else got.least(b"i1", looked)
+        assert least <= told(bench)[b"i1"] <= WAIT - GONE
 
 
 async def test_the_system_tells_when_the_last_byte_came_during_a_long_turn() -> None:
-    async with router() as bench, in_use(bench) as client:
+    got = Receipts()
+    async with router(got) as bench, in_use(bench) as client:
         time.sleep(STILL / 2)
+        sent = time.monotonic()
         client.sendall(get())
         time.sleep(STILL / 2)
         assert await read(client) == b"$1\r\nv\r\n"
-        assert WAIT - GONE / 2 - SLACK <= told(bench)[b"i1"] <= WAIT - GONE / 2
+        assert got.least(b"i1", sent, SHORT) <= told(bench)[b"i1"] <= WAIT - GONE / 2
 
 
 async def test_of_commands_that_came_apart_only_the_last_is_known_closely() -> None:
     """The system tells of the last bytes alone: the first command might have come before the long turn."""
-    async with router() as bench, in_use(bench) as client:
+    got = Receipts()
+    async with router(got) as bench, in_use(bench) as client:
+        looked = last_look()
         client.sendall(get(b"first"))
         time.sleep(STILL / 2)
+        sent = time.monotonic()
         client.sendall(get(b"second"))
         time.sleep(STILL / 2)
-        await soon(lambda: len(bench.cache.got) == 2)
-        assert WAIT - GONE - SLACK <= told(bench)[b"first"] <= WAIT - GONE
-        assert WAIT - GONE / 2 - SLACK <= told(bench)[b"second"] <= WAIT - GONE / 2
+        await soon(lambda: len(got.times) == 2)
+        assert got.least(b"first", looked) <= told(bench)[b"first"] <= WAIT - GONE
+        assert got.least(b"second", sent, SHORT) <= told(bench)[b"second"] <= WAIT - GONE / 2
 
 
 async def test_an_idle_router_loses_no_time() -> None:
-    async with router() as bench, in_use(bench) as client:
+    got = Receipts()
+    async with router(got) as bench, in_use(bench) as client:
         await asyncio.sleep(STILL)
+        sent = time.monotonic()
         client.sendall(get())
         assert await read(client) == b"$1\r\nv\r\n"
-        assert WAIT - SLACK <= told(bench)[b"i1"] <= WAIT
+        assert got.least(b"i1", sent, SHORT) <= told(bench)[b"i1"] <= WAIT
 
 
 def test_each_turn_that_stands_still_counts(monkeypatch: pytest.MonkeyPatch, no_account: None) -> None:
@@ -227,19 +259,22 @@
 
 
 async def test_the_system_tells_when_a_command_behind_a_paused_read_came() -> None:
-    gate = Gate()
-    async with router(gate.cache, gate.origin, sockets=256) as bench, in_use(bench) as client:
+    gate, got = Gate(), Receipts()
+
+    def cache(asked: Any, peer: asyncio.StreamWriter) -> bytes | None:
+        return got(asked, peer) if asked[2] == b"late" else gate.cache(asked, peer)
+
+    async with router(cache, gate.origin, sockets=256) as bench, in_use(bench) as client:
         for n in range(clients.MOST_PIPELINED):
-            client.sendall(get(b"i%d" % n, key=b"k%d" % n))
+            client.sendall(get(b"i%d" % n, 5000, b"k%d" % n))
         await full_pipeline(bench)
         await asyncio.sleep(STILL / 2)
-        client.sendall(get(b"late"))
         sent = time.monotonic()
+        client.sendall(get(b"late"))
         await asyncio.sleep(STILL / 2)
         gate.open()
-        await soon(lambda: b"late" in told(bench))
-        waited = int((time.monotonic() - sent) * 1000)
-        assert WAIT - waited - SLACK <= told(bench)[b"late"] <= WAIT - GONE / 2
+        await soon(lambda: got.times)
+        assert got.least(b"late", sent, SHORT) <= told(bench)[b"late"] <= WAIT - GONE / 2
 
 
 def test_a_command_of_a_client_that_leaves_its_answers_unread_counts_from_the_pause(
@@ -269,29 +304,34 @@
 @pytest.mark.parametrize("count", [1, 60])
 async def test_a_client_that_waits_to_be_let_in_loses_that_time(account: bool, count: int) -> None:
     """More of them than are let in during one turn: the last waited as long as the first."""
-    async with router(sockets=256) as bench, contextlib.AsyncExitStack() as stack:
+    got = Receipts()
+    async with router(got, sockets=256) as bench, contextlib.AsyncExitStack() as stack:
+        looked = last_look()
         for n in range(count):
             stack.enter_context(line(bench)).sendall(get(b"i%d" % n, key=b"k%d" % n))
         time.sleep(STILL)
         await soon(lambda: bench.cache.got and not bench.driver.held)
-        all_told = [*told(bench).values(), *told_to_origin(bench)]
-        assert all(WAIT - GONE - 4 * SLACK <= one <= WAIT - GONE for one in all_told)
+        assert all(one <= WAIT - GONE for one in [*told(bench).values(), *told_to_origin(bench)])
+        assert all(got.least(name, looked) <= one for name, one in told(bench).items())
 
 
 async def test_what_waits_for_a_listener_that_is_handed_over_counts_from_its_arrival(account: bool) -> None:
     """An upgrade: nobody accepts for a while, then another process does. Only the system knows since when."""
-    async with router() as bench:
+    got = Receipts()
+    async with router(got) as bench:
         platform = socket.create_server(("127.0.0.1", 0))
         with socket.create_connection(platform.getsockname()) as client:
             client.setblocking(False)
+            sent = time.monotonic()
             client.sendall(get())
             time.sleep(STILL)
+            watched = time.monotonic()
             following = Clients(bench.driver, bench.clients.names, bench.clients.places)
             await following.listen("", 0, platform.detach())
             assert await read(client) == b"$1\r\nv\r\n"
             following.close()
-            known = GONE if account else 0
-            assert WAIT - known - SLACK <= told(bench)[b"i1"] <= WAIT - known
+            least = got.least(b"i1", sent if account else watched, SHORT)
+            assert least <= told(bench)[b"i1"] <= WAIT - (GONE if account else 0)
 
 
 # Commands in pieces, and long writes
@@ -368,16 +408,29 @@
     play(monkeypatch, test)
 
 
-async def test_a_request_whose_time_went_while_it_waited_is_refused_at_once(account: bool) -> None:
+async def test_a_request_whose_time_went_while_it_waited_is_never_sent(account: bool) -> None:
     async with router() as bench, in_use(bench) as client:
         client.sendall(get(wait=300))
         time.sleep(STILL)
-        begun = time.monotonic()
         assert await read(client) == BUSY
-        assert time.monotonic() - begun < 0.2
         assert not bench.cache.got and not bench.origin.got and not bench.driver.held
 
 
+def test_a_request_whose_time_went_while_it_waited_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch, no_account: None
+) -> None:
+    async def test() -> None:
+        async with router() as bench, in_use(bench) as client:
+            client.sendall(get(wait=300))
+            stand_still()
+            begun = time.monotonic()
+            assert await read(client) == BUSY
+            assert time.monotonic() == begun
+            assert not bench.cache.got and not bench.origin.got and not bench.driver.held
+
+    play(monkeypatch, test)
+
+
 def test_without_a_time_of_its_own_that_of_the_class_counts_from_the_arrival(
     monkeypatch: pytest.MonkeyPatch, no_account: None
 ) -> None:
@@ -557,7 +610,7 @@
         assert all(answer == BUSY for answer in answers[::2])
         assert all(answer.startswith((b"$", b"-BUSY")) for answer in answers[1::2])
         of = [int(name[1:]) for name in told(bench)]
-        assert len(of) > count // 4 and all(n % 2 for n in of)
+        assert of and all(n % 2 for n in of)
         assert all(one <= 5000 - GONE for one in [*told(bench).values(), *told_to_origin(bench)])
         assert not bench.driver.held and bench.driver.room.used == 0
 
@@ -608,12 +661,15 @@
 
 
 async def test_the_system_tells_how_long_a_connection_was_silent() -> None:
-    async with router() as bench, in_use(bench):
-        (one,) = bench.clients.open
-        assert one.transport is not None
-        time.sleep(0.2)
-        silence = arrivals.silent_for(one.transport.get_extra_info("socket"))
-        assert silence is not None and 200 - arrivals.TICK <= silence <= 200 + SLACK
+    async with router() as bench:
+        begun = time.monotonic()
+        async with in_use(bench):
+            (one,) = bench.clients.open
+            assert one.transport is not None
+            time.sleep(0.2)
+            silence = arrivals.silent_for(one.transport.get_extra_info("socket"))
+            most = (time.monotonic() - begun) * 1000 + arrivals.TICK
+            assert silence is not None and 200 - arrivals.TICK <= silence <= most
 
 
 def test_the_account_is_not_taken_for_bytes_with_others_unread_behind_them() -> None:
@@ -624,6 +680,7 @@
         listener.accept()[0] as of,
         arrivals.Looks() as looks,
     ):
+        sent = time.monotonic_ns()
         sender.sendall(b"ab")
         assert of.recv(1) == b"a" and Unread(of).waits()
         looks.looked = time.monotonic_ns()
@@ -634,7 +691,7 @@
         assert of.recv(1) == b"b" and not Unread(of).waits()
         came.note(1, of)
         assert came.of_last_before(1) == looks.since
-        assert came.of_last_before(0) > looks.looked - (SLACK + arrivals.TICK) * arrivals.MILLI
+        assert came.of_last_before(0) > sent - SHORT * arrivals.MILLI
 
 
 def test_a_wait_after_a_long_turn_ends_when_something_comes(monkeypatch: pytest.MonkeyPatch) -> None:
