--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 
+from applehub.node.arrivals import Loop
 from applehub.node.configuration import Configuration, ConfigurationError, read_configuration
 from applehub.node.router import Router
 
@@ -37,7 +38,8 @@
     try:
         configuration = read_configuration(path)
         gc.freeze()
-        asyncio.run(serve(configuration, path))
+        with asyncio.Runner(loop_factory=Loop) as runner:
+            runner.run(serve(configuration, path))
     except ConfigurationError as problem:
         print(f"applehub: {problem}", file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
