--- a/applehub/lab/fleet/watch_play.py
+++ b/applehub/lab/fleet/watch_play.py
@@ -1,8 +1,10 @@
 """A play of many routers' watches before one slow list service, on loopback and the running loop's clock."""
 
 import asyncio
+import contextlib
 import logging
 import resource
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass, field, replace
 from functools import partial
 from random import Random
@@ -169,14 +171,14 @@
 
 def play_alone(plan: WatchPlan) -> Played:
     """Plays a plan on a loop of its own, bounded in time and descriptors. Raises LiveError."""
-    logging.getLogger("applehub").setLevel(logging.ERROR)  # a line for each failed call of each router
     needed = DESCRIPTORS_EACH * plan.routers + DESCRIPTORS_MORE
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if allowed < needed:
         raise LiveError(f"{plan.routers} routers need {needed} descriptors, and {allowed} are allowed")
     before = psutil.Process().num_fds()
     try:
-        played = asyncio.run(_bounded(plan))
+        with _quiet_routers():
+            played = asyncio.run(_bounded(plan))
     except TimeoutError:
         raise LiveError(f"a play of {plan.routers} routers was not over in time") from None
     if (left := psutil.Process().num_fds() - before) > 0:
@@ -184,6 +186,18 @@
     return played
 
 
+@contextlib.contextmanager
+def _quiet_routers() -> Iterator[None]:
+    """Keeps back the line that each failed call of each router logs."""
+    log = logging.getLogger("applehub")
+    level = log.level
+    log.setLevel(logging.ERROR)
+    try:
+        yield
+    finally:
+        log.setLevel(level)
+
+
 async def _bounded(plan: WatchPlan) -> Played:
     schedule = draw_schedule(patience_for(plan.service, plan.routers), Random(plan.seed))
     async with asyncio.timeout(schedule.end + OVERTIME):
