Hold watches for a shorter time where a call that waits for its turn takes long

Cause: a call beside every watch went out 1.7 s after its begin, while the watch was still held: 135 calls a second where the service handles 100. A watch that goes on takes no turn, so it is held for a shorter time instead, and a call goes out beside it only once it is silent.

--- a/applehub/lab/fleet/variants.py
+++ b/applehub/lab/fleet/variants.py
@@ -173,7 +173,7 @@
 def hears_late() -> None:
     """Leaves a silent watch alone for half a minute."""
 
-    def due(self: CallSchedule, begun: float, in_turn: bool, spread: float) -> float:
+    def due(self: CallSchedule, begun: float, hold: float, in_turn: bool, spread: float) -> float:
         return begun + 30.0
 
     CallSchedule.watch_due = due  # type: ignore[method-assign]
--- a/applehub/node/call_schedule.py
+++ b/applehub/node/call_schedule.py
@@ -12,7 +12,8 @@
 
 from applehub.node.answer_time import AnswerTime
 
-HOLD = 2.5  # that discovery may hold a watch
+HOLD = 2.5  # that discovery may hold a watch, at the most
+LEAST_HOLD = 0.5  # the same, at the least
 LATE = 0.7  # past its hold after which a watch that goes on counts as silent, at the least
 JITTER = 0.3  # of LATE, drawn by each router: watches that fall silent together are not opened anew together
 DEADLINE = 6.0  # from a change until it counts as told
@@ -58,7 +59,7 @@
     """The times between the calls of one watch."""
 
     def __init__(self, source: random.Random, addresses: int = 1) -> None:
-        self.random, self.hold, self.addresses = source, HOLD, addresses
+        self.random, self.addresses = source, addresses
         self.deadline: float | None = None  # when what changed since the last answer counts as told
         self._learn_anew()
 
@@ -89,17 +90,26 @@
         if took >= hold:
             (self.in_turn if in_turn else self.watch).observe(took - hold)
 
+    @property
+    def hold(self) -> float:
+        """How long discovery may hold a watch that is opened now.
+
+        Calls that wait for a turn may take so long that a watch has to be found silent sooner. Watches that
+        are held for a shorter time go on more often, which takes no turn.
+        """
+        longest = DEADLINE - MARGIN - self.in_turn.mean - self.watch.timeout * (1 + JITTER)
+        return min(HOLD, max(longest, LEAST_HOLD))
+
     def spread(self) -> float:
         """A factor for the delay of one call, drawn so that routers do not call in step."""
         return 1 + JITTER * self.random.random()
 
-    def watch_due(self, begun: float, in_turn: bool, spread: float) -> float:
+    def watch_due(self, begun: float, hold: float, in_turn: bool, spread: float) -> float:
         """When a watch that was opened at a time and has not been answered is joined by another call."""
         if in_turn:
-            return begun + min(
-                self.hold + max(self.in_turn.timeout, FIRST_ANSWER), DEADLINE - MARGIN - LEAST_GAP
-            )
-        return begun + min(self.hold + self.watch.timeout * spread, self._gap_for_deadline())
+            answer = max(self.in_turn.timeout, FIRST_ANSWER)
+            return begun + min(hold + answer, DEADLINE - MARGIN - LEAST_GAP)
+        return begun + min(hold + self.watch.timeout * spread, self._gap_for_deadline())
 
     def call_due(self, begun: float, spread: float) -> float:
         """The same for a call that need not wait, or a watch whose connection is not up yet.
--- a/applehub/node/watch.py
+++ b/applehub/node/watch.py
@@ -177,7 +177,7 @@
     def _due(self, call: Call) -> float:
         """When a call that is out and the newest is joined by another."""
         if call.hold and call.line is not None:
-            return self.schedule.watch_due(call.begun, call.in_turn, call.spread)
+            return self.schedule.watch_due(call.begun, call.hold, call.in_turn, call.spread)
         return self.schedule.call_due(call.begun, call.spread)
 
     def _finish(self, call: Call, now: float) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -305,6 +305,20 @@
     assert budget.wait(200.0) == 0 and budget.tokens == 3
 
 
+@pytest.mark.parametrize("answer", [0.0, 1.0, 2.0, 2.5, 3.0, 4.0])
+def test_a_silent_watch_is_noticed_while_a_call_in_turn_can_still_be_answered_in_time(answer: float) -> None:
+    schedule = CallSchedule(random.Random(1))
+    schedule.begin(0.0)
+    for _ in range(20):
+        schedule.answered(100.0, answer, 0.0, in_turn=True)
+        schedule.answered(100.0, schedule.hold, schedule.hold, in_turn=False)
+    assert schedule.hold == call_schedule.HOLD or answer > 2.0
+    for _ in range(100):
+        noticed = schedule.watch_due(100.0, schedule.hold, False, schedule.spread())
+        assert noticed >= 100.0 + schedule.hold + call_schedule.LATE  # not while it may still be answered
+        assert noticed + answer <= 100.0 + TOLD
+
+
 @pytest.mark.parametrize("answer", [0.0, 0.5, 1.4, 2.0, 3.0, 3.9])
 def test_two_calls_fit_into_the_deadline_and_some_call_is_answered_in_time(answer: float) -> None:
     schedule = CallSchedule(random.Random(1))
@@ -313,7 +327,7 @@
         schedule.answered(100.0, answer, 0.0, in_turn=True)
         schedule.answered(100.0, schedule.hold + answer, schedule.hold, in_turn=False)
     for _ in range(100):
-        second = schedule.watch_due(100.0, False, schedule.spread())
+        second = schedule.watch_due(100.0, schedule.hold, False, schedule.spread())
         third = schedule.call_due(second, schedule.spread())
         assert third - second <= TOLD - answer  # a change after the second call is answered by the third
         assert second <= 100.0 + TOLD - max(answer, call_schedule.LEAST_ANSWER)
