--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -15,9 +15,10 @@
 from applehub.node import call_schedule, watch
 from applehub.node.answer_time import AnswerTime
 from applehub.node.call_schedule import CallBudget, CallSchedule
-from applehub.node.discovery import Directory
+from applehub.node.discovery import Directory, ListError
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.http1 import Answer
 from applehub.node.pool import Pools
 from applehub.node.watch import Watch
 from applehub.policy import Balancer
@@ -274,6 +275,20 @@
     play(monkeypatch, test)
 
 
+def test_after_an_answer_that_makes_no_sense_only_a_whole_list_will_do() -> None:
+    """The answer to a call beside it, which tells changes alone, may lack what the broken one held."""
+    directory = Directory(read_names(info()), 1, Pools(64, 0.25, 60.0), lambda members: None)
+    directory.take({"rev": 1, "targets": [entry("c0", "127.0.0.1:1")]}, cached=True)
+    watched = Watch([("127.0.0.1", 1)], directory, 1, must_ask=False)
+    changes = json.dumps({"rev": 2, "all": False, "targets": []}).encode()
+    with pytest.raises(ListError):
+        watched._take(Answer(200, {}, bytearray(b'{"rev": 2, "all": false}')), whole=False)
+    watched._take(Answer(200, {}, bytearray(changes)), whole=False)
+    assert watched.unread
+    watched._take(Answer(200, {}, bytearray(changes)), whole=True)
+    assert not watched.unread
+
+
 # The times alone
 
 
