--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,7 +12,7 @@
 from peers import LET_IN, MISS, PATIENCE, Bench, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
-from applehub.node import clients, pool, resp
+from applehub.node import clients, listener, pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import WAY_BACK, Held
 
@@ -188,7 +188,8 @@
         server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
         pool.endpoint = server.sockets[0].getsockname()[:2]
         call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, "put", 0, 9000, False)
-        pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
+        until = time.monotonic_ns() + 9_000_000_000
+        pool.start(Exchange(call, until, lambda ending: statuses.append(ending.status)))
         await soon(lambda: statuses)
         assert statuses == [api.Status.MOOT]  # never ran, and the server took the connection
         server.close()
@@ -569,7 +570,7 @@
 
 async def test_an_idle_client_makes_room_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
     """ticket7341: connections that nobody used any more filled the places of new clients."""
-    monkeypatch.setattr(clients, "IDLE_LEAST", 0.0)
+    monkeypatch.setattr(listener, "IDLE_LEAST", 0.0)
     async with router(lambda asked, line: None, sockets=2) as bench:
         idle, busy = await bench.caller(), await bench.caller()
         idle.send(b"PING")
@@ -587,7 +588,7 @@
 async def test_a_client_too_many_is_told_so_and_its_place_is_free_again_later(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(clients, "IDLE_LEAST", 2 * PATIENCE)
+    monkeypatch.setattr(listener, "IDLE_LEAST", 2 * PATIENCE)
     async with router(sockets=2) as bench:
         for _ in range(2):
             caller = await bench.caller()
