--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from applehub import interface as api
-from applehub.node.clients import Clients
 from applehub.node.configuration import Configuration, ConfigurationError, read_configuration
 from applehub.node.console import CallError, Console, Handler
 from applehub.node.descriptors import Places, share_out
 from applehub.node.discovery import Directory, ListError
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.listener import Clients
 from applehub.node.memory_budget import bytes_for_values
 from applehub.node.operator_overrides import OperatorOverrides
 from applehub.node.pool import Pools
