--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -15,9 +15,10 @@
 from applehub.node import call_schedule, watch
 from applehub.node.answer_time import AnswerTime
 from applehub.node.call_schedule import CallBudget, CallSchedule
-from applehub.node.discovery import Directory
+from applehub.node.discovery import Directory, ListError
 from applehub.node.driver import Driver
 from applehub.node.figures import Figures
+from applehub.node.http1 import Answer
 from applehub.node.pool import Pools
 from applehub.node.watch import Watch
 from applehub.policy import Balancer
@@ -274,6 +275,20 @@
     play(monkeypatch, test)
 
 
+def test_after_an_answer_that_makes_no_sense_only_a_whole_list_will_do() -> None:
+    """The answer to a call beside it, which tells changes alone, may lack what the broken one held."""
+    directory = Directory(read_names(info()), 1, Pools(64, 0.25, 60.0), lambda members: None)
+    directory.take({"rev": 1, "targets": [entry("c0", "127.0.0.1:1")]}, cached=True)
+    watched = Watch([("127.0.0.1", 1)], directory, 1, must_ask=False)
+    changes = json.dumps({"rev": 2, "all": False, "targets": []}).encode()
+    with pytest.raises(ListError):
+        watched._take(Answer(200, {}, bytearray(b'{"rev": 2, "all": false}')), whole=False)
+    watched._take(Answer(200, {}, bytearray(changes)), whole=False)
+    assert watched.unread
+    watched._take(Answer(200, {}, bytearray(changes)), whole=True)
+    assert not watched.unread
+
+
 # The times alone
 
 
@@ -305,6 +320,20 @@
     assert budget.wait(200.0) == 0 and budget.tokens == 3
 
 
+@pytest.mark.parametrize("answer", [0.0, 1.0, 2.0, 2.5, 3.0, 4.0])
+def test_a_silent_watch_is_noticed_while_a_call_in_turn_can_still_be_answered_in_time(answer: float) -> None:
+    schedule = CallSchedule(random.Random(1))
+    schedule.begin(0.0)
+    for _ in range(20):
+        schedule.answered(100.0, answer, 0.0, in_turn=True)
+        schedule.answered(100.0, schedule.hold, schedule.hold, in_turn=False)
+    assert schedule.hold == call_schedule.HOLD or answer > 2.0
+    for _ in range(100):
+        noticed = schedule.watch_due(100.0, schedule.hold, False, schedule.spread())
+        assert noticed >= 100.0 + schedule.hold + call_schedule.LATE  # not while it may still be answered
+        assert noticed + answer <= 100.0 + TOLD
+
+
 @pytest.mark.parametrize("answer", [0.0, 0.5, 1.4, 2.0, 3.0, 3.9])
 def test_two_calls_fit_into_the_deadline_and_some_call_is_answered_in_time(answer: float) -> None:
     schedule = CallSchedule(random.Random(1))
@@ -313,7 +342,7 @@
         schedule.answered(100.0, answer, 0.0, in_turn=True)
         schedule.answered(100.0, schedule.hold + answer, schedule.hold, in_turn=False)
     for _ in range(100):
-        second = schedule.watch_due(100.0, False, schedule.spread())
+        second = schedule.watch_due(100.0, schedule.hold, False, schedule.spread())
         third = schedule.call_due(second, schedule.spread())
         assert third - second <= TOLD - answer  # a change after the second call is answered by the third
         assert second <= 100.0 + TOLD - max(answer, call_schedule.LEAST_ANSWER)
