Let the test of an interrupted ground not depend on how its shell was started

A run of all checks in the background of a shell failed in it: such a shell starts its jobs with SIGINT ignored, the ground inherits that, went on to its end and ended with 0 in place of 130.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -240,10 +240,22 @@
     assert small.faults == wanted
 
 
+def heed_interrupts() -> None:
+    """Makes SIGINT end this process, whatever it inherited."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def test_the_ground_ends_by_itself_when_told_to() -> None:
     """SIGINT, as a person would: code 130, and no process left."""
     words = [sys.executable, "-m", "applehub.lab", "fleet", "--quick"]
-    ground = subprocess.Popen(words, env=environment(), stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    # A shell starts what runs in its background with SIGINT ignored, and a test run hands that on.
+    ground = subprocess.Popen(
+        words,
+        env=environment(),
+        preexec_fn=heed_interrupts,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     me = psutil.Process(ground.pid)
     while len(children := me.children(recursive=True)) < 7:
         assert ground.poll() is None
