Review: an upgrade cuts off long answers while long writes come in

Cause: when a second process of the router runs, the old one's memory budget is halved while long writes that it is receiving stay reserved; over its budget it aborts each connection with more than 64 KiB in its buffers (node/router.py, Router._apply_limits; node/clients.py, ClientConnection._update_reading).

Added review/3 with its claim and its test. Nothing is fixed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -10,4 +10,4 @@
     .venv/bin/pip -q install $(printf -- '-r %s ' $requirements)
     cat $requirements > .venv/built-from
 fi
-../.venv/bin/python -m compileall -q standins.py 1 2
+../.venv/bin/python -m compileall -q standins.py 1 2 3
