Review: long answers without a length exceed the router's memory

Cause: a whole answer that waits behind an earlier one of its connection is not counted in the memory budget (node/origin.py, OriginConnection.finish; node/clients.py, ClientConnection._count_buffers).

Added review/3 with its claim and its test. Nothing is fixed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,179 +1,150 @@
-"""An upgrade while clients send and read long values: do the answers under way come whole? See claim.txt."""
+"""Long answers without a length that wait behind a slow one: does the router stay within its memory?
+
+See claim.txt.
+"""
 
 import asyncio
-import contextlib
-import json
-import os
-import signal
-import socket
-import subprocess
 import sys
-import time
-import tomllib
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins as s
 
-MEMORY_MB = 192
-VALUE = b"v" * (4 << 20)
-WRITERS = 10
-WRITE_RATE = 1_000_000  # bytes per second that one client sends
-READERS = 6
-READS_EACH = 3  # commands that a reading client sends at once
-READ_RATE = 3_000_000  # bytes per second that one client reads
-DEADLINE_MS = 3000
-KILL_AFTER_S = DEADLINE_MS / 1000 + 0.7  # seconds from SIGTERM to SIGKILL
+MEMORY_MB = 192  # the most that the platform gives a router on the scored days
+LONG_VALUE = b"v" * (4 << 20)
+CLIENTS = 2
+READS_EACH = 30
+READ_INTERVAL = 0.06  # seconds between two reads of one client
 CLASSES = [
-    s.request_class("get", 1200, DEADLINE_MS, "safe"),
-    s.request_class("put", 1500, DEADLINE_MS, "keyed", 2000),
+    s.request_class("consulta", 300, 600, "safe"),
+    s.request_class("despacho", 600, 2500, "unsafe"),
 ]
 
 
-class Processes:
-    """The processes of one router, which share a listening socket and $TMPDIR as at an upgrade."""
-
-    def __init__(self, record: s.Record, folder: Path, discovery: s.Discovery) -> None:
-        self.record, self.folder = record, folder
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
-        self.listen = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.config = s.configuration(discovery, self.listen, CLASSES, MEMORY_MB)
-        self.started: list[subprocess.Popen[bytes]] = []
-        (folder / "tmp").mkdir()
-
-    async def start(self) -> bool:
-        """Starts a process; returns whether it says within 6 s that it is ready."""
-        console, number = s.free_address(), len(self.started)
-        path = self.folder / f"config-{number}.json"
-        path.write_text(json.dumps({**self.config, "console": console}), encoding="utf-8")
-        with (s.ROOT / "deploy" / "balancer.toml").open("rb") as file:
-            run = tomllib.load(file)["run"]
-        environment = {
-            **os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp"),
-            "BALANCER_INHERITED_FD": "7", "BALANCER_CONSOLE": console,
-        }  # fmt: skip
-
-        def pass_listener() -> None:
-            os.dup2(self.listener.fileno(), 7)
-            os.set_inheritable(7, True)
-
-        with (self.folder / "router.log").open("ab") as log:
-            process = subprocess.Popen(
-                ["/bin/sh", "-c", run], cwd=s.ROOT, env=environment, preexec_fn=pass_listener,
-                close_fds=False, stdout=log, stderr=log,
-            )  # fmt: skip
-        self.started.append(process)
-        self.record.add("platform", f"process {number} started")
-        end = time.monotonic() + 6
-        while time.monotonic() < end:
-            with contextlib.suppress(OSError):
-                host, port = console.rsplit(":", 1)
-                reader, writer = await asyncio.open_connection(host, int(port))
-                writer.write(b"HEALTH\n")
-                answer = await reader.read()
-                writer.close()
-                if answer.startswith(b"+OK"):
-                    self.record.add("platform", f"process {number} is ready")
-                    return True
-            await asyncio.sleep(0.02)
+class LongOrigin(s.Origin):
+    """Answers reads at once with long values, and each write after 1.9 s."""
+
+    def __init__(self, record: s.Record, caches: dict[str, s.Cache]) -> None:
+        super().__init__("origin", record, caches)
+        self.without_length = s.trouble()
+
+    async def read_value(self, key: bytes, request_id: str, writer: asyncio.StreamWriter) -> bool:
+        if not self.without_length:
+            writer.write(s.http_answer(LONG_VALUE))
+            await writer.drain()
+            self.record.add(self.name, f"read {request_id} answered: {len(LONG_VALUE)} bytes, with a length")
+            return True
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LONG_VALUE)
+        await writer.drain()
+        self.record.add(self.name, f"read {request_id} answered: {len(LONG_VALUE)} bytes, without a length")
         return False
 
-    async def end_first(self) -> None:
-        process, started = self.started[0], time.monotonic()
-        process.send_signal(signal.SIGTERM)
-        self.record.add("platform", "SIGTERM to process 0")
-        while process.poll() is None and time.monotonic() < started + KILL_AFTER_S:
-            await asyncio.sleep(0.01)
-        if process.poll() is None:
-            self.record.add("platform", "SIGKILL to process 0")
-            process.kill()
-            process.wait()
-        self.record.add("platform", f"process 0 ended {time.monotonic() - started:.2f} s after SIGTERM")
-
-    def stop(self) -> None:
-        for process in self.started:
-            if process.poll() is None:
-                process.terminate()
-                with contextlib.suppress(subprocess.TimeoutExpired):
-                    process.wait(6)
-            if process.poll() is None:
+    async def write_value(
+        self,
+        key: bytes,
+        request_id: str,
+        request: s.HttpRequest,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self.record.add(self.name, f"write {request_id} begun")
+        await asyncio.sleep(1.9)
+        return await super().write_value(key, request_id, request, body, writer)
+
+
+class Watchdog:
+    """The platform: kills a router that uses more memory than its limit."""
+
+    def __init__(self, record: s.Record, router: s.Router) -> None:
+        self.record, self.router = record, router
+        self.most_mb = 0.0
+        self.killed = False
+
+    async def run(self) -> None:
+        process = self.router.process
+        assert process is not None
+        while process.poll() is None:
+            used = self.router.memory_mb()
+            if used > self.most_mb + 10:
+                self.record.add("platform", f"the router uses {used:.0f} MB")
+            self.most_mb = max(self.most_mb, used)
+            if used > MEMORY_MB:
+                self.record.add("platform", f"over {MEMORY_MB} MB with {used:.0f} MB: router killed")
                 process.kill()
-                process.wait()
-        self.listener.close()
+                self.killed = True
+                return
+            await asyncio.sleep(0.01)
 
 
-async def write(record: s.Record, listen: str, number: int) -> None:
-    """Sends a long write slowly."""
+async def client(record: s.Record, listen: str, number: int, answers: dict[str, str]) -> None:
+    """Sends a write and, behind it on the same connection, reads of other keys; reads all answers at once."""
     host, port = listen.rsplit(":", 1)
-    reader, writer = await asyncio.open_connection(host, int(port))
-    info = b"c=put,d=%d,k=%016x" % (DEADLINE_MS, number + 1)
-    command = s.array(b"C.SET", b"write-%d" % number, b"%016x" % (number + 5001), info, VALUE)
-    started = record.now()
-    with contextlib.suppress(ConnectionError):
-        for position in range(0, len(command), 1 << 16):
-            writer.write(command[position : position + (1 << 16)])
+    reader, writer = await asyncio.open_connection(host, int(port), limit=1 << 16)
+    sent: list[str] = []
+
+    async def receive() -> None:
+        for position in range(READS_EACH + 1):
+            answer = await s.read_answer(reader)
+            answers[sent[position]] = s.shown(answer)
+            record.add(f"client {number}", f"{sent[position]} answered: {s.shown(answer)}")
+            if answer is None:
+                return
+
+    receiving = asyncio.create_task(receive())
+    try:
+        for position in range(READS_EACH + 1):
+            request_id = f"{number * 1000 + position + 1:016x}"
+            sent.append(request_id)
+            if position:
+                command = (
+                    b"C.GET",
+                    b"key-%d-%d" % (number, position),
+                    request_id.encode(),
+                    b"c=consulta,d=600",
+                )
+                writer.write(s.array(*command))
+            else:
+                command = (b"C.SET", b"order-%d" % number, request_id.encode(), b"c=despacho,d=2500")
+                writer.write(s.array(*command, b"w" * 100))
+            record.add(f"client {number}", f"{request_id} sent: {command[0].decode()} {command[3].decode()}")
             await writer.drain()
-            await asyncio.sleep(max(0.0, started + position / WRITE_RATE - record.now()))
-    record.add(f"writer {number}", f"answered: {s.shown(await s.read_answer(reader))}")
+            await asyncio.sleep(READ_INTERVAL)
+    except ConnectionError as error:
+        record.add(f"client {number}", f"the connection broke: {error!r}")
+    await asyncio.wait([receiving], timeout=4)
     writer.close()
 
 
-async def read(record: s.Record, listen: str, number: int, missing: dict[int, int]) -> None:
-    """Asks for long values at once, and reads them steadily."""
-    host, port = listen.rsplit(":", 1)
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
-    sock.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(sock, (host, int(port)))
-    key, info = b"read-%d" % number, b"c=get,d=%d" % DEADLINE_MS
-    for position in range(READS_EACH):
-        await loop.sock_sendall(sock, s.array(b"C.GET", key, b"%016x" % (number * 10 + position + 1), info))
-    started, received = record.now(), 0
-    whole = READS_EACH * (len(VALUE) + len(b"$%d\r\n\r\n" % len(VALUE)))
-    with contextlib.suppress(ConnectionError):
-        while received < whole and (data := await loop.sock_recv(sock, 1 << 15)):
-            received += len(data)
-            await asyncio.sleep(max(0.0, started + received / READ_RATE - record.now()))
-    missing[number] = whole - received
-    record.add(f"reader {number}", f"has {received} of {whole} bytes after {record.now() - started:.2f} s")
-    sock.close()
-
-
 async def case(record: s.Record, folder: Path) -> int:
     caches: dict[str, s.Cache] = {}
-    origin, discovery = s.Origin("origin", record, caches), s.Discovery(record)
-    for number in range(6):
+    origin, discovery = LongOrigin(record, caches), s.Discovery(record)
+    for number in range(3):
         await s.Cache(f"cache-{number}", record, caches).listen()
     for name, cache in caches.items():
         discovery.add(name, cache.address, "m1")
-        for number in range(READERS):
-            cache.values[b"read-%d" % number] = VALUE
     await origin.listen()
     discovery.add("origin", origin.address, "origin")
     await discovery.listen()
-    processes, missing = Processes(record, folder, discovery), dict[int, int]()
+    listen = s.free_address()
+    router = s.Router(record, folder, s.configuration(discovery, listen, CLASSES, MEMORY_MB))
+    router.start()
+    watchdog = Watchdog(record, router)
+    watching = asyncio.create_task(watchdog.run())
+    answers: dict[str, str] = {}
     try:
-        if not await processes.start():
+        if not await router.wait_ready():
             return s.CANNOT_RUN
-        await asyncio.sleep(0.5)
-        listen = processes.listen
-        tasks = [asyncio.create_task(write(record, listen, number)) for number in range(WRITERS)]
-        await asyncio.sleep(0.3)
-        for number in range(READERS):
-            tasks.append(asyncio.create_task(read(record, listen, number, missing)))
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(0.3)
-        if s.trouble():
-            if not await processes.start():
-                return s.CANNOT_RUN
-            await processes.end_first()
-        await asyncio.wait(tasks, timeout=15)
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(client(record, listen, number, answers) for number in range(CLIENTS)))
     finally:
-        processes.stop()
-    cut_off = sum(count > 0 for count in missing.values())
-    record.add("case", f"answers of {cut_off} of {READERS} reading clients cut off")
-    return s.BROKEN if cut_off else s.HOLDS
+        await router.stop()
+        await watching
+        router.log_tail()
+    values = sum("bytes" in answer for answer in answers.values())
+    busy = sum("BUSY" in answer for answer in answers.values())
+    record.add("case", f"{values} requests served, {busy} refused, of {CLIENTS * (READS_EACH + 1)}")
+    record.add("case", f"most memory {watchdog.most_mb:.0f} MB, limit {MEMORY_MB} MB")
+    return s.BROKEN if watchdog.killed else s.HOLDS
 
 
 s.run_case(Path(__file__).resolve().parent, case)
