Review: a planned restart cuts off answers that clients still read

Cause: a connection whose last answer is in the system's send buffer counts as done after 1 s, and the process ends before SIGKILL is due; a command that the client sends then resets the connection (node/clients.py, ClientConnection._watch_writes; node/router.py, Router.stop).

Added review/2 with its claim and its test. Nothing is fixed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,239 +1,140 @@
-"""A release controller that is replaced while an agent hangs: does its last order still take effect?
-
-See claim.txt.
-"""
+"""A planned restart while clients read their answers slowly: do they get them whole? See claim.txt."""
 
 import asyncio
-import contextlib
-import json
-import os
 import signal
-import subprocess
+import socket
 import sys
 import time
-import urllib.request
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins as s
 
-PYTHON = str(s.ROOT / "review" / ".venv" / "bin" / "python")
-MAX_HANG_S = 30.0  # limit on the seconds for which the agent of zone b hangs
-REPLACED_AFTER_S = 3.0  # seconds after the order to the hanging agent until staff replace the controller
-SLOW_STEP_S = 3.0  # seconds that a step takes at the agent of zone a, for the second controller
-START = ("-m", "applehub.release", "start")
-AGENTS = {"u-a": "zone-a", "u-b": "zone-b"}
-
-
-class Processes:
-    """The processes that the case starts."""
-
-    def __init__(self, record: s.Record, folder: Path) -> None:
-        self.record, self.folder = record, folder
-        self.started: dict[str, subprocess.Popen[bytes]] = {}
-
-    def start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
-        with (self.folder / f"{name}.log").open("wb") as log:
-            self.started[name] = process = subprocess.Popen(
-                [PYTHON, *arguments], cwd=s.ROOT, stdout=log, stderr=log, env={**os.environ}
-            )
-        self.record.add("case", f"{name} started, process {process.pid}")
-        return process
-
-    def signal(self, name: str, number: signal.Signals) -> None:
-        self.record.add("case", f"{number.name} to {name}")
-        self.started[name].send_signal(number)
-
-    def stop(self) -> None:
-        for process in self.started.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.send_signal(signal.SIGTERM)
-        for process in self.started.values():
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                process.wait(3)
-            if process.poll() is None:
-                process.kill()
-                process.wait()
-
-
-def get(address: str, path: str) -> dict[str, object]:
-    with urllib.request.urlopen(f"http://{address}{path}", timeout=2) as response:
-        return dict(json.loads(response.read()))
-
-
-async def wait_for(address: str, path: str) -> bool:
-    deadline = time.monotonic() + 20
-    while time.monotonic() < deadline:
-        with contextlib.suppress(OSError, ValueError):
-            answer = await asyncio.to_thread(get, address, path)
-            if answer.get("primary", True):
-                return True
-        await asyncio.sleep(0.1)
-    return False
-
-
-def write_plan(path: Path, agents: dict[str, str], lists: str) -> None:
-    units = "".join(
-        f'    {{ name = "{unit}", zone = "{zone}", agent = "{agents[unit]}" }},\n'
-        for unit, zone in AGENTS.items()
-    )
-    path.write_text(
-        f'name = "cache-1.8"\nwhat = "servers"\nold = "1.7"\nnew = "1.8"\nlists = ["{lists}"]\n'
-        "limits = { out_at_once = 1, tries = 2, step_s = 60 }\n"
-        'stages = [ { name = "all", part = 1.0, watch_s = 0 } ]\n'
-        f"fleet = [\n{units}]\n[gates]\nlook_s = 0.3\nbefore_s = 0\n",
-        encoding="utf-8",
-    )
-
-
-class Fences:
-    """The fence that each agent reports, with the time at which each value was first seen."""
-
-    def __init__(self, record: s.Record, agents: dict[str, str]) -> None:
-        self.record, self.agents = record, agents
-        self.seen: dict[str, list[tuple[float, int]]] = {unit: [] for unit in agents}
-
-    async def watch(self) -> None:
-        while True:
-            for unit, address in self.agents.items():
-                with contextlib.suppress(OSError, ValueError):
-                    fence = int(str((await asyncio.to_thread(get, address, "/v1/units"))["fence"]))
-                    if fence and (not self.seen[unit] or self.seen[unit][-1][1] != fence):
-                        self.seen[unit].append((time.monotonic(), fence))
-                        self.record.add("agent", f"of {unit}: the highest fence seen is {fence}")
-            await asyncio.sleep(0.05)
-
-    async def wait_for_next(self, unit: str, timeout: float) -> None:
-        """Waits until an agent has taken orders of two controllers, and 1.5 s longer."""
-        deadline = time.monotonic() + timeout
-        while len(self.seen[unit]) < 2 and time.monotonic() < deadline:
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(1.5)
-
-
-def stale_orders(record: s.Record, steps: list[dict[str, object]], fences: Fences) -> int:
-    """Returns how many steps began with a fence lower than one that another agent had taken before.
-
-    The fence of a step is the highest that its agent had seen shortly after the step began.
-    """
-    stale = 0
-    for step in steps:
-        if step["event"] != "begins":
-            continue
-        began = float(str(step["at"]))
-        unit = str(step["unit"])
-        own = [fence for at, fence in fences.seen[unit] if at <= began + 0.5]
-        others = [
-            (at, fence, other)
-            for other, seen in fences.seen.items()
-            for at, fence in seen
-            if other != unit and at < began - 1.0
-        ]
-        newer = [entry for entry in others if own and entry[1] > own[-1]]
-        if newer:
-            at, fence, other = newer[0]
-            text = f"{step['step']} of {unit} began with fence {own[-1]}, {began - at:.1f} s after the agent"
-            record.add("case", f"{text} of {other} had taken fence {fence} of the next controller")
-            stale += 1
-    return stale
-
-
-def most_out(steps: list[dict[str, object]]) -> int:
-    """Returns the largest number of units that were out of service at a time, from drain to admit."""
-    out: set[str] = set()
-    most = 0
-    for step in sorted(steps, key=lambda entry: float(str(entry["at"]))):
-        if step["event"] == "begins" and step["step"] == "drain":
-            out.add(str(step["unit"]))
-        elif step["event"] == "ends" and step["step"] == "admit":
-            out.discard(str(step["unit"]))
-        most = max(most, len(out))
-    return most
-
-
-async def run_first_controller(processes: Processes, folder: Path, log: Path) -> None:
-    """Starts the release; staff end its controller some seconds after it has sent an order to unit u-b.
-
-    The agent of that unit hangs from the last step of the unit before it on.
-    """
-    first = processes.start("controller-1", *START, str(folder / "plan.toml"), "--state", str(folder / "1"))
-    while '"u-a", "step": "admit"' not in log.read_text() and first.poll() is None:
-        await asyncio.sleep(0.02)
-    if s.trouble():
-        processes.signal("agent-u-b", signal.SIGSTOP)
-    events = folder / "1" / "events.jsonl"
-    while not ordered(events) and first.poll() is None:
-        await asyncio.sleep(0.02)
-    processes.record.add("case", "controller 1 has sent an order to unit u-b")
-    await asyncio.sleep(REPLACED_AFTER_S)
-    if first.poll() is None:
-        processes.signal("controller-1", signal.SIGTERM)
-        first.wait(5)
-    processes.record.add("case", f"controller 1 has ended with code {first.poll()}")
-
-
-def ordered(events: Path) -> bool:
-    """Returns whether a controller has sent an order to unit u-b."""
-    lines = events.read_text(encoding="utf-8").splitlines() if events.exists() else []
-    return any('"u-b"' in line and '"step"' in line for line in lines)
+CLIENTS = 10
+SIZES = (65_000, 4 << 20)  # bytes of the values that every other client asks for
+RECEIVE_BUFFERS = (4096, 65_536)  # bytes of SO_RCVBUF at these clients
+READ_S = 2.8  # seconds in which a client reads its answer
+NEXT_AFTER_S = (2.0, 2.3)  # seconds from a client's first command to its next ones, on the same connection
+DEADLINE_MS = 3000
+KILL_AFTER_S = DEADLINE_MS / 1000 + 0.7  # seconds from SIGTERM to SIGKILL
+CLASSES = [s.request_class("consulta", 1200, DEADLINE_MS, "safe")]
+
+
+class Client:
+    """Asks for a value, reads it steadily, and sends its next commands while it still reads."""
+
+    def __init__(self, record: s.Record, listen: str, number: int) -> None:
+        self.record, self.listen, self.number = record, listen, number
+        size = SIZES[number % 2]
+        self.whole = len(b"$%d\r\n\r\n" % size) + size
+        self.received = 0
+        self.head = b""
+        self.reset = ""
+
+    def command(self, request_id: int) -> bytes:
+        key = b"key-%d" % self.number
+        return s.array(b"C.GET", key, b"%016x" % request_id, b"c=consulta,d=%d" % DEADLINE_MS)
+
+    async def run(self) -> None:
+        host, port = self.listen.rsplit(":", 1)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFERS[self.number % 2])
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (host, int(port)))
+        started = self.record.now()
+        self.add(f"sends {self.number + 1:016x}")
+        await loop.sock_sendall(sock, self.command(self.number + 1))
+        try:
+            await self.read(sock, started)
+        except OSError as error:
+            self.reset = repr(error)
+        sock.close()
+        duration = self.record.now() - started
+        self.add(f"has {self.received} of {self.whole} bytes after {duration:.2f} s {self.reset}")
+
+    async def read(self, sock: socket.socket, started: float) -> None:
+        loop = asyncio.get_running_loop()
+        sent = 1
+        while self.received < self.whole:
+            if sent <= len(NEXT_AFTER_S) and self.record.now() - started > NEXT_AFTER_S[sent - 1]:
+                request_id = self.number + 1 + 1000 * sent
+                sent += 1
+                self.add(f"sends {request_id:016x}, having read {self.received} bytes")
+                await loop.sock_sendall(sock, self.command(request_id))
+            data = await loop.sock_recv(sock, min(1 << 14, self.whole - self.received))
+            if not data:
+                self.reset = "end of the stream"
+                return
+            self.head = self.head or data[:1]
+            self.received += len(data)
+            if self.head != b"$":
+                self.add(f"is answered {data!r}")
+                return
+            due = started + READ_S * self.received / self.whole
+            await asyncio.sleep(max(0.0, due - self.record.now()))
+
+    def add(self, text: str) -> None:
+        self.record.add(f"client {self.number}", text)
+
+    @property
+    def cut_off(self) -> bool:
+        return self.head == b"$" and self.received < self.whole
+
+
+async def restart(record: s.Record, router: s.Router) -> None:
+    """Ends the router as the platform does at a planned restart."""
+    process = router.process
+    assert process is not None
+    started = time.monotonic()
+    record.add("platform", "SIGTERM")
+    process.send_signal(signal.SIGTERM)
+    while process.poll() is None and time.monotonic() < started + KILL_AFTER_S:
+        await asyncio.sleep(0.01)
+    if process.poll() is None:
+        record.add("platform", "SIGKILL")
+        process.kill()
+        process.wait()
+    record.add("platform", f"router ended {time.monotonic() - started:.2f} s after SIGTERM")
 
 
 async def case(record: s.Record, folder: Path) -> int:
-    processes = Processes(record, folder)
-    listen, staff, log = s.free_address(), s.free_address(), folder / "steps.jsonl"
-    (folder / "list.toml").write_text(
-        f'name = "a"\nstate_dir = "{folder / "list"}"\nlisten = "{listen}"\nstaff = "{staff}"\n',
-        encoding="utf-8",
-    )
-    log.touch()
-    agents = {unit: s.free_address() for unit in AGENTS}
-    watching: asyncio.Task[None] | None = None
+    caches: dict[str, s.Cache] = {}
+    origin, discovery = s.Origin("origin", record, caches), s.Discovery(record)
+    for number in range(6):
+        await s.Cache(f"cache-{number}", record, caches).listen()
+    for name, cache in caches.items():
+        discovery.add(name, cache.address, "m1")
+        for number in range(CLIENTS):
+            cache.values[b"key-%d" % number] = b"v" * SIZES[number % 2]
+    await origin.listen()
+    discovery.add("origin", origin.address, "origin")
+    await discovery.listen()
+    listen = s.free_address()
+    router = s.Router(record, folder, s.configuration(discovery, listen, CLASSES))
+    router.start()
+    clients = [Client(record, listen, number) for number in range(CLIENTS)]
     try:
-        processes.start("list", "-m", "applehub.registry", str(folder / "list.toml"))
-        for unit, address in agents.items():
-            quick = "3" if unit == "u-a" else "100"
-            port = address.rsplit(":", 1)[1]
-            script = str(Path(__file__).parent / "agent_host.py")
-            processes.start(
-                f"agent-{unit}", script, unit, port, str(folder / unit), str(log), quick, str(SLOW_STEP_S)
-            )
-        if not await wait_for(staff, "/v1/status"):
+        if not await router.wait_ready():
             return s.CANNOT_RUN
-        for address in agents.values():
-            if not await wait_for(address, "/v1/units"):
-                return s.CANNOT_RUN
-        fences = Fences(record, agents)
-        watching = asyncio.create_task(fences.watch())
-        write_plan(folder / "plan.toml", agents, staff)
-        await run_first_controller(processes, folder, log)
-        second = processes.start(
-            "controller-2", *START, str(folder / "plan.toml"), "--state", str(folder / "2")
-        )
+        await asyncio.sleep(1.0)
+        reading = []
+        for client in clients:
+            reading.append(asyncio.create_task(client.run()))
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
         if s.trouble():
-            await fences.wait_for_next("u-a", MAX_HANG_S - 10.0)
-            processes.signal("agent-u-b", signal.SIGCONT)
-        deadline = time.monotonic() + 45
-        while second.poll() is None and time.monotonic() < deadline:
-            await asyncio.sleep(0.1)
-        record.add("case", f"controller 2 ended with code {second.poll()}")
+            await restart(record, router)
+        await asyncio.wait(reading, timeout=10)
     finally:
-        if watching is not None:
-            watching.cancel()
-        processes.stop()
-        for name in ("controller-1", "controller-2", "list"):
-            path = folder / f"{name}.log"
-            for line in path.read_text().splitlines()[-12:] if path.exists() else []:
-                record.add(f"log of {name}", line[:300])
-    steps = [json.loads(line) for line in log.read_text(encoding="utf-8").splitlines()]
-    for step in steps:
-        at = float(step["at"]) - record.started_at
-        text = (
-            f"{step['step']} {step['event']} at {at:.2f}, number {step['number']}, version {step['version']}"
-        )
-        record.add(f"unit {step['unit']}", text)
-    record.add("case", f"most units out of service at a time: {most_out(steps)}, limit 1")
-    return s.BROKEN if stale_orders(record, steps, fences) else s.HOLDS
+        await router.stop()
+        router.log_tail()
+    whole = sum(client.received == client.whole for client in clients)
+    cut_off = sum(client.cut_off for client in clients)
+    record.add("case", f"{whole} answers whole, {cut_off} cut off, of {CLIENTS}")
+    if not whole and not cut_off:
+        return s.CANNOT_RUN
+    return s.BROKEN if cut_off else s.HOLDS
 
 
 s.run_case(Path(__file__).resolve().parent, case)
