Abort keyed retries that their server has not received within the window

Its retry began inside the idempotency window and its last byte came 0.4 s after it, because the origin read the 2 MiB slowly.

Cause: "written" was taken for "received". The last byte was passed to the kernel 1 ms after the start of the retry, with 1.1 to 2.1 MB in the socket's send queue (probe, 8 of 8 attempts). The kernel delivers that queue as fast as the peer reads, and also after a plain close, so that an abort did not help either: an attempt that timed out was executed later.

Change: a retry has to be received by the end of the window less 0.15 s (Send.deliver_by, before: start_by). At that time the driver aborts it if bytes are unwritten or unacknowledged (SIOCOUTQ). Closing a connection with unacknowledged bytes discards them and resets it, so that the last byte is never sent.

--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -278,8 +278,9 @@
     id: str
     server: str
     timeout: int = 0  # 0: until the client gives up
-    # Clock time by which the attempt must start, since servers forget idempotency keys; 0: no limit.
-    start_by: int = 0
+    # Clock time by which the server must have received the complete attempt, since servers forget idempotency
+    # keys; 0: no limit.
+    deliver_by: int = 0
 
 
 @dataclass(slots=True)
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -73,6 +73,10 @@
 
     unsent: bool  # whether the request is not completely written and so cannot have been executed
 
+    @property
+    def undelivered(self) -> bool:
+        """Whether the server has not yet acknowledged the complete request."""
+
     @property
     def connected(self) -> bool:
         """Whether the connection was established for its current or latest attempt."""
@@ -93,7 +97,7 @@
     on_long_value: Callable[[int, Source], Stream | None] = lambda size, source: None
     memory: MemoryBudget | None = None  # accounts for the buffered part of a long response
     carrier: Carrier | None = None
-    start_by: float = math.inf  # monotonic ns after which the attempt must not be started
+    deliver_by: float = math.inf  # monotonic ns by which the server must have received the complete request
     # Called right before the first byte is written. If it returns False, the attempt has been cancelled.
     still_wanted: Callable[[], bool] = lambda: True
 
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -53,6 +53,13 @@
     long_answer_at: int = 0  # monotonic ns at which a long answer started
     exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
+    delivery_timer: asyncio.TimerHandle | None = None
+
+    def cancel_timers(self) -> None:
+        """Cancels the timeout and the check of the delivery."""
+        for timer in (self.timer, self.delivery_timer):
+            if timer is not None:
+                timer.cancel()
 
 
 @dataclass(slots=True, eq=False)
@@ -264,13 +271,17 @@
             return
         request.attempt = attempt
         attempt.timer = self.loop.call_later(time_limit / NS_PER_S, self._timeout, attempt)
+        if action.deliver_by:
+            attempt.delivery_timer = self.loop.call_at(
+                action.deliver_by / NS_PER_S, self._check_delivery, attempt
+            )
         attempt.exchange = Exchange(
             request.call,
             now + time_limit,
             lambda result: self._attempt_ended(attempt, result),
             lambda size, source: self._start_stream(attempt, size, source),
             self.memory,
-            start_by=action.start_by or math.inf,
+            deliver_by=action.deliver_by or math.inf,
             still_wanted=lambda: self._still_wanted(attempt),
         )
         if not pool.start(attempt.exchange):
@@ -286,6 +297,13 @@
         self.cancel(attempt.request)
         return False
 
+    def _check_delivery(self, attempt: Attempt) -> None:
+        """Aborts a retry that its server has not received completely within the idempotency window."""
+        carrier = self._carrier(attempt)
+        if carrier is not None and carrier.undelivered:
+            log.debug("request %s attempt %d: not delivered in time", attempt.request.id, attempt.number)
+            self._timeout(attempt)
+
     def _timeout(self, attempt: Attempt) -> None:
         """Aborts an attempt that timed out.
 
@@ -313,8 +331,7 @@
             attempt.server,
             size,
         )
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        attempt.cancel_timers()
         attempt.long_answer_at = time.monotonic_ns()
         self._close(request)
         request.stream = Stream(size, source)
@@ -340,8 +357,7 @@
         connected = carrier is not None and carrier.connected
         request.attempt = attempt.exchange = None  # breaks the reference cycle between attempt and exchange
         request.local_failures += result.status in api.NOT_STARTED
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        attempt.cancel_timers()
         if request.stream is not None:
             self._end_stream(request, request.stream, result.status)
         elif result.status is api.Status.OK and request.open:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -16,6 +16,7 @@
 
 from applehub.interface import NOT_STARTED, Status
 from applehub.node.call import AttemptResult, Exchange, NoTimeLeftError
+from applehub.node.send_queue import discard_on_close, unacknowledged_bytes
 from applehub.node.stream import SharedBufferProtocol
 from applehub.node.unread import UnreadInput
 
@@ -114,12 +115,12 @@
             self.finish(AttemptResult(Status.MOOT), reusable=False)
 
     def _may_start(self) -> bool:
-        """Returns whether the first byte may be written; cancels the attempt if its time to start has passed.
+        """Returns whether the first byte may be written; cancels the attempt if it could only be late.
 
         The check is made right before the write, because the process may have been suspended since the
         attempt was decided on.
         """
-        if self.exchange is None or time.monotonic_ns() >= self.exchange.start_by:
+        if self.exchange is None or time.monotonic_ns() >= self.exchange.deliver_by:
             self.cancel_unstarted()
             return False
         return self.exchange.still_wanted()
@@ -127,7 +128,8 @@
     def abort_attempt(self) -> bool:
         """Aborts the attempt in flight; returns whether the server may have executed it.
 
-        The socket is shut down before this returns, so that a retry never runs beside this attempt.
+        The socket is shut down before this returns, so that a retry never runs beside this attempt. The rest
+        of the request is discarded, so that the server cannot receive it later.
         """
         self.exchange, unsent = None, self.unsent
         self.close()
@@ -146,10 +148,20 @@
             if self.connect_task is not None:
                 self.connect_task.cancel()
             return
+        sock = self.transport.get_extra_info("socket")
+        if unacknowledged_bytes(sock):
+            discard_on_close(sock)
         with contextlib.suppress(OSError):
-            self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            sock.shutdown(socket.SHUT_RDWR)
         self.transport.abort()
 
+    @property
+    def undelivered(self) -> bool:
+        """Whether the server has not yet acknowledged the complete request."""
+        if self.unsent or self.transport is None:
+            return True
+        return unacknowledged_bytes(self.transport.get_extra_info("socket")) > 0
+
     @property
     def connected(self) -> bool:
         """Whether the connection was established for its current or latest attempt."""
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -274,8 +274,9 @@
             timeout = (
                 time_left if is_read or job.spec.late_weight else min(time_left, job.objective_deadline - now)
             )
-        # Establishing a connection may outlast the time for which the server remembers the idempotency key.
-        start_by = job.retry_window_end if job.may_have_run and job.spec.effect is api.Effect.KEYED else 0
+        # A new connection, or a server that reads slowly, may outlast the time for which the server remembers
+        # the idempotency key.
+        deliver_by = job.retry_window_end if job.may_have_run and job.spec.effect is api.Effect.KEYED else 0
         server.in_flight += 1
         server.previous_sent_at, server.last_sent_at = server.last_sent_at, now
         job.may_have_run[job.attempts_made] = (server, now)
@@ -291,7 +292,9 @@
             self.hit_history.remember(key, now)
         elif key is not None and is_read and not job.detached:
             self.fetch_waiters.setdefault(key, [])
-        self.context.actions.append(api.Send(job.request.id, server.member.server, max(timeout, 0), start_by))
+        self.context.actions.append(
+            api.Send(job.request.id, server.member.server, max(timeout, 0), deliver_by)
+        )
 
     def _may_attempt(self, job: Job, server: Server) -> bool:
         """Whether an attempt is allowed, given the earlier attempts that may have been executed."""
--- a/applehub/policy/job.py
+++ b/applehub/policy/job.py
@@ -42,7 +42,7 @@
     def retry_window_end(self) -> int:
         """Clock time until which a retry of a request that may have been executed is allowed.
 
-        Leaves time for a pause of the process, so that the retry starts within the idempotency window.
+        Leaves time for a pause of the process, so that the retry is received within the idempotency window.
         """
         return min(sent for _, sent in self.may_have_run.values()) + self.spec.idempotency_window - MAX_PAUSE
 
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -52,7 +52,7 @@
         assert bool(retries) == (effect is not api.Effect.UNSAFE)
         if effect is api.Effect.UNSAFE:
             assert actions == [api.Fail(name)]
-        assert all(bool(retry.start_by) == (effect is api.Effect.KEYED) for retry in retries)
+        assert all(bool(retry.deliver_by) == (effect is api.Effect.KEYED) for retry in retries)
 
 
 @pytest.mark.parametrize("write", [False, True])
@@ -75,7 +75,7 @@
     router.advance(window // 2)
     (retry,) = router.finish_attempt(first, Status.RESET)
     assert isinstance(first, api.Send) and isinstance(retry, api.Send)
-    assert (first.start_by, retry.start_by) == (0, sent + window - MAX_PAUSE)
+    assert (first.deliver_by, retry.deliver_by) == (0, sent + window - MAX_PAUSE)
     # The retry expires before it is written, so it is not executed; no attempt may follow after the window.
     router.now = sent + window - MAX_PAUSE
     (end,) = router.finish_attempt(retry, Status.MOOT, 1)
