Keep closing connections until their clients have taken the last answer

The router ended 1.6 s after SIGTERM.

Cause: a closing connection was taken for done once the transport's own write buffer was empty, and aborted a second later, with the answer still in the kernel's send queue. A probe at the abort showed a write buffer of 0 and a queue of 13,811 to 17,907 bytes or 1,473,636 bytes (10 of 10). The exit of the process came after the aborts and is not the cause.

Change: DeliveryWatch measures write buffer and unsent bytes of the send queue (SIOCOUTQNSD). The same cause in two more places: with more closing connections than their limit the oldest was aborted, read or not; and on an open connection the 10 s without progress looked at the write buffer alone, so that a client of 8 KB a second was cut off. Open and closing connections now keep to the sum of their limits.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -11,6 +11,7 @@
 from applehub.node import resp
 from applehub.node.arrivals import ArrivalTimes, TimedSelector
 from applehub.node.call import CallError, read_call
+from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver, PendingRequest
 from applehub.node.memory_budget import LONG_VALUE_FRACTION
 from applehub.node.stream import SharedBufferProtocol, Stream
@@ -18,9 +19,7 @@
 from applehub.settings import Names
 
 MAX_PIPELINED_COMMANDS = 32  # maximum commands of one connection in progress; later commands wait
-WRITE_STALL_TIMEOUT = 10.0  # seconds for which a client may leave answers unread
 COMMAND_TIMEOUT = 2.5  # seconds for a complete command, from the connection or from the command's first byte
-LINGER_TIMEOUT = 1.0  # seconds for which input is still read after the last answer
 log = logging.getLogger("applehub")
 
 
@@ -85,6 +84,9 @@
     def set_reading_paused(self, client: "ClientConnection", paused: bool) -> None:
         """Records whether reading from a connection is paused."""
 
+    def connection_opened(self, client: "ClientConnection") -> None:
+        """Records that the commands of a connection are processed."""
+
     def sending_ended(self, client: "ClientConnection") -> None:
         """Records that no further command of a connection is processed."""
 
@@ -106,7 +108,7 @@
         self.advancing = self.write_paused = False
         self.buffered_bytes = 0  # bytes in its buffers, as counted in the memory budget
         self.reserved_bytes = 0  # bytes of the memory budget for a long value that is being received
-        self.stall_timer: asyncio.TimerHandle | None = None
+        self.delivery_watch = DeliveryWatch(self.abort_connection)
         self.command_timer: asyncio.TimerHandle | None = None
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
@@ -124,7 +126,7 @@
             )
             self._end_sending(resp.error("max number of clients reached"))
             return
-        self.owner.connections.add(self)
+        self.owner.connection_opened(self)
         self._update_command_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -140,14 +142,13 @@
         self.transport = None
         self._disconnect()
         self.owner.connection_closed(self)
-        for timer in (self.stall_timer, self.command_timer):
-            if timer is not None:
-                timer.cancel()
+        self.delivery_watch.stop()
+        self._cancel_command_timer()
 
     def eof_received(self) -> None:
         self._disconnect()  # at once, since the transport closes only once its write buffer is empty
         if self.transport is not None and self.transport.get_write_buffer_size():
-            self._watch_writes()
+            self.delivery_watch.start(self.transport)
 
     def peer_closed(self) -> None:
         """Handles a disconnect while reading is paused; resumes reading up to the end of the stream."""
@@ -191,32 +192,15 @@
 
     def pause_writing(self) -> None:
         self.write_paused = True
-        self._watch_writes()
+        if self.transport is not None:
+            self.delivery_watch.start(self.transport)
         self._update_reading()
 
-    def _watch_writes(self, previous_unsent: int = -1) -> None:
-        """Aborts the connection if the client has read nothing since the last call; else starts the timer.
-
-        previous_unsent: size of the write buffer at the last call, -1 if there was none. If the buffer is
-        empty, which happens only while the connection is closing, it is aborted after LINGER_TIMEOUT.
-        """
-        if self.transport is None:
-            return
-        unsent = self.transport.get_write_buffer_size()
-        if unsent == previous_unsent:
-            self.abort_connection()
-            return
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-        timeout = WRITE_STALL_TIMEOUT if unsent else LINGER_TIMEOUT
-        self.stall_timer = asyncio.get_running_loop().call_later(timeout, self._watch_writes, unsent)
-
     def resume_writing(self) -> None:
         self.write_paused = False
         if self.phase in (Phase.LINGERING, Phase.DISCONNECTED):
-            return  # the stall timer of the closing connection has to keep running
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
+            return  # a closing connection is watched until it is closed
+        self.delivery_watch.stop()
         self.advance()
 
     def _reserve_value(self, size: int) -> bool:
@@ -260,6 +244,11 @@
         self._disconnect()
         self._end_sending()
 
+    @property
+    def has_untaken_answers(self) -> bool:
+        """Whether the client has not taken all that was written to it."""
+        return self.transport is not None and untaken_bytes(self.transport) > 0
+
     def abort_connection(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -304,6 +293,7 @@
         """Writes the last answers and the end of the stream, then discards input for a limited time.
 
         Closing a socket with unread input sends a reset, which can reach the client before the last answer.
+        So does input that arrives after the close, as long as the client has not taken everything.
         A command that is discarded has no effect; its client retries it on a new connection.
         """
         if self.transport is None or self.phase is Phase.LINGERING or self.transport.is_closing():
@@ -323,7 +313,7 @@
             except OSError:  # the connection is broken, and no read has reported it yet
                 self.transport.abort()
             self.transport.resume_reading()
-            self._watch_writes()
+            self.delivery_watch.start(self.transport)
 
     def _process_commands(self) -> None:
         """Processes received commands, up to the limit of commands in progress."""
--- a/applehub/node/listener.py
+++ b/applehub/node/listener.py
@@ -88,18 +88,31 @@
         longest_idle.close_idle()
         return True
 
-    def sending_ended(self, client: ClientConnection) -> None:
-        """Records that no further command of a connection is processed and its descriptor is freed soon.
+    def connection_opened(self, client: ClientConnection) -> None:
+        """Records that the commands of a connection are processed."""
+        self.connections.add(client)
+        self._bound_descriptors()
 
-        If too many connections are closing, the oldest of them is aborted, to bound the descriptors in use.
-        """
+    def sending_ended(self, client: ClientConnection) -> None:
+        """Records that no further command of a connection is processed and its descriptor is freed soon."""
         self.connections.discard(client)
         self._reading_paused.discard(client)
         self.lingering[client] = None
-        if len(self.lingering) > self.connection_limits.lingering:
-            oldest = next(iter(self.lingering))
-            del self.lingering[oldest]
-            oldest.abort_connection()
+        self._bound_descriptors()
+
+    def _bound_descriptors(self) -> None:
+        """Aborts a closing connection if more connections are open and closing than descriptors allow.
+
+        That is the oldest one whose client has taken all answers or, if there is none, the oldest one.
+        """
+        limits = self.connection_limits
+        excess = len(self.connections) + len(self.lingering) - limits.clients - limits.lingering
+        if excess <= 0 or not self.lingering:
+            return
+        finished = (client for client in self.lingering if not client.has_untaken_answers)
+        closing = next(finished, next(iter(self.lingering)))
+        del self.lingering[closing]
+        closing.abort_connection()
 
     def connection_closed(self, client: ClientConnection) -> None:
         self.lingering.pop(client, None)
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -14,7 +14,7 @@
 from router_bench import MISS, Bench, hit, http, router, wait_until
 from virtual_time import run_in_virtual_time
 
-from applehub.node import clients, listener, resp
+from applehub.node import clients, delivery_watch, listener, resp
 
 GET = resp.command(b"C.GET", b"k", b"i1", b"c=read,t=acme,d=9000")
 PING, PONG = resp.command(b"PING"), b"+PONG\r\n"
@@ -68,7 +68,7 @@
             end(bench)
             client.sock.sendall(sent)  # before the router polls its sockets again
             assert await client.read_all() == b""
-            await asyncio.sleep(clients.LINGER_TIMEOUT / 2)
+            await asyncio.sleep(delivery_watch.LINGER_TIMEOUT / 2)
             client.sock.sendall(sent)  # the router still reads from the connection
             await asyncio.sleep(3)
             assert not bench.cache.received and not bench.clients.lingering
@@ -220,7 +220,8 @@
                 received += chunk
                 await asyncio.sleep(0.5)
             assert len(received) == len(value) + len(b"$8388608\r\n\r\n+OK\r\n")
-            await asyncio.sleep(2 * clients.WRITE_STALL_TIMEOUT)  # the client keeps the connection open
+            # The client keeps the connection open.
+            await asyncio.sleep(2 * delivery_watch.WRITE_STALL_TIMEOUT)
             assert not bench.clients.lingering and bench.driver.memory.used == 0
 
     run_in_virtual_time(monkeypatch, test)
@@ -235,7 +236,7 @@
             raw_client(bench) as client,
         ):
             client.sock.sendall(GET + resp.command(b"QUIT"))
-            await asyncio.sleep(4 * clients.WRITE_STALL_TIMEOUT)
+            await asyncio.sleep(4 * delivery_watch.WRITE_STALL_TIMEOUT)
             assert not bench.clients.connections and not bench.clients.lingering
             assert bench.driver.memory.used == 0
 
@@ -319,7 +320,7 @@
                 received += chunk
                 await asyncio.sleep(0.1)
             assert received.endswith(b"+OK\r\n") and received.count(b"$60000\r\n") == len(names)
-            await asyncio.sleep(2 * clients.WRITE_STALL_TIMEOUT)
+            await asyncio.sleep(2 * delivery_watch.WRITE_STALL_TIMEOUT)
             assert not bench.clients.lingering and bench.driver.memory.used == 0
 
     run_in_virtual_time(monkeypatch, test)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,7 +9,7 @@
 from router_bench import MISS, Bench, Caller, hit, http, router
 from virtual_time import run_in_virtual_time
 
-from applehub.node import clients, resp
+from applehub.node import clients, delivery_watch, resp
 
 DETECTION_TIME = 0.1  # seconds after a disconnect from which on no attempt may start
 
@@ -33,7 +33,7 @@
     await asyncio.sleep(DETECTION_TIME)
     attempts_before = len(bench.cache.received) + len(bench.origin.received)
     trigger()
-    await asyncio.sleep(2 * clients.WRITE_STALL_TIMEOUT)
+    await asyncio.sleep(2 * delivery_watch.WRITE_STALL_TIMEOUT)
     assert len(bench.cache.received) + len(bench.origin.received) == attempts_before
     assert not bench.driver.requests and bench.driver.memory.used == 0 and not bench.driver.balancer.jobs
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -24,7 +24,7 @@
 )
 
 from applehub import interface as api
-from applehub.node import clients, listener, pool, resp
+from applehub.node import clients, delivery_watch, listener, pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import ANSWER_MARGIN, PendingRequest
 
@@ -340,7 +340,7 @@
 
 
 async def test_client_that_reads_nothing_is_disconnected(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "WRITE_STALL_TIMEOUT", 0.2)
+    monkeypatch.setattr(delivery_watch, "WRITE_STALL_TIMEOUT", 0.2)
     async with router(lambda command, writer: hit(bytes(resp.MAX_BUFFERED_VALUE))) as bench:
         caller = await bench.caller()
         caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
