Free closed client connections without the garbage collector

Since each client connection and its DeliveryWatch refer to each other, so that closed connections stay until a garbage collection.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -108,7 +108,7 @@
         self.advancing = self.write_paused = False
         self.buffered_bytes = 0  # bytes in its buffers, as counted in the memory budget
         self.reserved_bytes = 0  # bytes of the memory budget for a long value that is being received
-        self.delivery_watch = DeliveryWatch(self.abort_connection)
+        self.delivery_watch = DeliveryWatch()
         self.command_timer: asyncio.TimerHandle | None = None
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
@@ -148,7 +148,7 @@
     def eof_received(self) -> None:
         self._disconnect()  # at once, since the transport closes only once its write buffer is empty
         if self.transport is not None and self.transport.get_write_buffer_size():
-            self.delivery_watch.start(self.transport)
+            self.delivery_watch.start(self.transport, self.abort_connection)
 
     def peer_closed(self) -> None:
         """Handles a disconnect while reading is paused; resumes reading up to the end of the stream."""
@@ -193,7 +193,7 @@
     def pause_writing(self) -> None:
         self.write_paused = True
         if self.transport is not None:
-            self.delivery_watch.start(self.transport)
+            self.delivery_watch.start(self.transport, self.abort_connection)
         self._update_reading()
 
     def resume_writing(self) -> None:
@@ -313,7 +313,7 @@
             except OSError:  # the connection is broken, and no read has reported it yet
                 self.transport.abort()
             self.transport.resume_reading()
-            self.delivery_watch.start(self.transport)
+            self.delivery_watch.start(self.transport, self.abort_connection)
 
     def _process_commands(self) -> None:
         """Processes received commands, up to the limit of commands in progress."""
--- a/applehub/node/delivery_watch.py
+++ b/applehub/node/delivery_watch.py
@@ -23,27 +23,28 @@
 
     __slots__ = ("_on_timeout", "_progress_at", "_timer", "_transport", "_untaken")
 
-    def __init__(self, on_timeout: Callable[[], None]) -> None:
-        self._on_timeout = on_timeout
+    def __init__(self) -> None:
+        self._on_timeout: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._untaken = -1
         self._progress_at = 0.0  # event loop time in seconds of the last progress that was seen
 
-    def start(self, transport: asyncio.Transport) -> None:
+    def start(self, transport: asyncio.Transport, on_timeout: Callable[[], None]) -> None:
         """Starts to watch a transport; the time starts again if it is watched already."""
         self.stop()
-        self._transport, self._untaken = transport, -1
+        self._transport, self._on_timeout, self._untaken = transport, on_timeout, -1
         self._check()
 
     def stop(self) -> None:
-        """Stops watching."""
+        """Stops watching, and drops the references to the connection."""
+        self._transport = self._on_timeout = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def _check(self) -> None:
-        assert self._transport is not None
+        assert self._transport is not None and self._on_timeout is not None
         loop = asyncio.get_running_loop()
         untaken = untaken_bytes(self._transport)
         if untaken != self._untaken:
--- a/tests/test_untaken_answers.py
+++ b/tests/test_untaken_answers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 from collections.abc import Callable
 
@@ -14,6 +15,7 @@
 from virtual_time import run_in_virtual_time
 
 from applehub.node import delivery_watch, resp
+from applehub.node.clients import ClientConnection
 
 READ_SECONDS = 2.8  # time in which a client reads its answer
 RECEIVE_BUFFER = 4096  # bytes of SO_RCVBUF at the clients
@@ -101,6 +103,29 @@
     run_in_virtual_time(monkeypatch, test)
 
 
+def live_connections() -> int:
+    return sum(isinstance(one, ClientConnection) for one in gc.get_objects())
+
+
+@pytest.mark.parametrize("suffix", [b"", resp.command(b"QUIT")], ids=["closed by client", "QUIT"])
+async def test_closed_connections_leave_no_reference_cycles(suffix: bytes) -> None:
+    """Prevents connections from staying in memory until the next garbage collection."""
+    async with router() as bench:
+        gc.collect()
+        gc.disable()
+        try:
+            client = await bench.caller()
+            client.writer.write(GET + suffix)
+            assert await client.answer() == b"v"
+            assert live_connections() == 1
+            client.writer.close()
+            await wait_until(lambda: not bench.clients.connections and not bench.clients.lingering)
+            await asyncio.sleep(0.05)
+            assert not live_connections()
+        finally:
+            gc.enable()
+
+
 def test_closing_connections_leave_descriptors_to_new_clients(monkeypatch: pytest.MonkeyPatch) -> None:
     """The closing connections whose clients have taken everything are aborted first."""
 
