Put back the reasons of constants and rules that the rewording deleted

All comments of the policy and of the settings and network code were compared, and the constants of the list service, releases, peers and the durable store. What a maintainer needs is back, in today's names; comments that still say the same were left, and what the old ones did not hold is not added. Code is unchanged: the syntax trees without docstrings are equal in all 16 files.

--- a/applehub/durable/store.py
+++ b/applehub/durable/store.py
@@ -10,7 +10,7 @@
 from applehub.durable.folder import Disk
 from applehub.durable.frame import DamagedFrameError, Frame, decode
 
-MAX_VALUE_SIZE = 64 << 20  # bytes
+MAX_VALUE_SIZE = 64 << 20  # bytes; a value is held in memory as a whole, and a longer one is a mistake
 
 
 class StoreError(Exception):
--- a/applehub/node/accepting.py
+++ b/applehub/node/accepting.py
@@ -8,7 +8,8 @@
 
 from applehub.node.arrivals import AcceptQueueTimes, running_selector
 
-RETRY_DELAY = 0.02  # seconds between two attempts while accept fails
+# Seconds between two attempts while accept fails; it must succeed within 0.05 s of the end of the failure.
+RETRY_DELAY = 0.02
 FAILURE_LOG_INTERVAL = 1.0  # seconds without a failure after which the next failure is logged again
 # Errors of a connection that broke before it was accepted: accept(2) has removed it from the queue, and
 # others may follow it. Any other error, such as a lack of descriptors or memory, leaves the queue unchanged,
--- a/applehub/node/call_schedule.py
+++ b/applehub/node/call_schedule.py
@@ -31,7 +31,9 @@
 # deadline.
 MIN_RESPONSE_TIME = 0.5
 # Minimum seconds between the starts of two calls of a continued watch. It batches rapid changes, because a
-# call costs discovery about as much for one change as for many.
+# call costs discovery about as much for one change as for many, and hundreds of changes come a second where
+# thousands of servers are replaced. It is a tenth of the grace of a draining server, and a quarter of the
+# time within which a watch continues.
 MIN_WATCH_INTERVAL = 0.05
 MIN_CALL_INTERVAL = 1.0  # minimum seconds between an unanswered call and the next one
 # Seconds from an unanswered call to the next one after the deadline has passed; by then discovery may have
--- a/applehub/node/memory_budget.py
+++ b/applehub/node/memory_budget.py
@@ -4,7 +4,7 @@
 LONG_VALUE_FRACTION = 3 / 4  # fraction of the budget that long values may use; the rest is left for reads
 # Fraction that answers which wait for earlier ones may use; the rest is left for input and output.
 HELD_ANSWER_FRACTION = 7 / 8
-PROGRAM_MEMORY_MB = 26  # memory of one process without its buffers
+PROGRAM_MEMORY_MB = 26  # memory of one process without its buffers, after some minutes
 MIN_BUFFER_MEMORY_MB = 4  # minimum for the buffers of all processes together
 
 
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -20,14 +20,15 @@
 from applehub.node.stream import SharedBufferProtocol
 from applehub.node.unread import UnreadInput
 
-MAX_IDLE_SECONDS = 10.0  # a connection that is idle for longer is closed
+MAX_IDLE_SECONDS = 10.0  # a connection that is idle for longer is closed: it costs more than a new one
 # Fraction of the server's keepalive time after which an idle connection is closed, before the server closes
 # it.
 KEEPALIVE_FRACTION = 0.8
 SWEEP_INTERVAL = 1.0  # seconds between two sweeps, which close connections that were idle for too long
 MAX_PROCESS_STALL = 0.15  # maximum seconds between reading the clock and the write that depends on it
 # Seconds for which a connection is not reused after a response. A duplicate response cannot be distinguished
-# from the response to the next request, so it must arrive while the connection is idle.
+# from the response to the next request, so it must arrive while the connection is idle. It comes up to 4 ms
+# after the first (docs/findings/standing.md).
 MIN_IDLE_BEFORE_REUSE = 0.01
 # Errors of socket() and connect() for resources that this machine lacks; the server does not cause them.
 LOCAL_FAILURE_ERRNOS = frozenset(
--- a/applehub/peers/membership.py
+++ b/applehub/peers/membership.py
@@ -25,7 +25,8 @@
 RECONNECT_TICKS = 20  # ticks between pings to absent configured routers or dead members
 ISOLATED_RECONNECT_TICKS = 4  # ticks between these pings while no other member is present
 LOCAL_PAUSE_TICKS = 4  # tick intervals without a tick after which the local process counts as paused
-MAX_RELAYED_PINGS = 1024  # maximum pings in flight on behalf of other members
+# Maximum pings in flight on behalf of other members: one per second for each member of the largest fleet.
+MAX_RELAYED_PINGS = 1024
 MAX_UPDATES = 12  # maximum membership changes per datagram
 
 
--- a/applehub/peers/record_store.py
+++ b/applehub/peers/record_store.py
@@ -9,7 +9,8 @@
 
 from applehub.peers.records import RETENTION, Body, Record, RecordKey, Verdict
 
-MAX_VERDICT_SUBJECTS = 4096  # servers with stored verdicts, above which the highest digest is evicted
+# Servers with stored verdicts, above which the highest digest is evicted; fleets have up to 3,200 servers.
+MAX_VERDICT_SUBJECTS = 4096
 
 
 class RecordStore:
--- a/applehub/policy/failed_starts.py
+++ b/applehub/policy/failed_starts.py
@@ -12,11 +12,15 @@
 from applehub.policy.job import Job
 from applehub.policy.rates import SECOND
 
-MIN_DELAY = SECOND // 200  # minimum delay, in ns, between two batches of retries
+# Minimum delay, in ns, between two batches of retries; a momentary lack of resources is over by then.
+MIN_DELAY = SECOND // 200
+# Maximum delay, in ns. The rules allow 50 ms beside each limit; the end of a lack is detected within that.
 MAX_DELAY = SECOND // 20
+# At most 800 retries per second; of more at once, some would be refused because of the burst itself.
 MAX_BATCH_SIZE = 4
-MAX_FAILED_STARTS = 64  # maximum number of failed starts of one request
-LOG_INTERVAL = 10 * SECOND
+# Maximum number of failed starts of one request: more than two seconds of retries by one request alone.
+MAX_FAILED_STARTS = 64
+LOG_INTERVAL = 10 * SECOND  # one line reports the failing machine, however many attempts fail
 
 
 class FailedStarts:
--- a/applehub/policy/gossip.py
+++ b/applehub/policy/gossip.py
@@ -7,11 +7,16 @@
 from applehub.policy.throttle import Monitor
 
 ADJUSTMENT = 1 / 4  # weight of a received range fraction in the moving average
-# Number of routers that must report a server as failing before it is ejected; grows with the fleet.
+# Number of routers that must report a server as failing before it is ejected; grows with the fleet. A single
+# reporting router may be faulty itself.
 MIN_QUORUM, MAX_QUORUM = 3, 6
 QUORUM_FRACTION = 1 / 8  # quorum as a fraction of all routers, within the limits above
-MIN_AGREEMENT = 3 / 4  # fraction of a server's reporters that must report it as failing
-MIN_TIMEOUTS = 1  # consecutive timeouts after which a server is published as failing
+# Fraction of a server's reporters that must report it as failing; a router that it answered reports it as
+# healthy.
+MIN_AGREEMENT = 3 / 4
+# Consecutive timeouts after which a server is published as failing. One is enough, because the routers that a
+# live server answers contradict the report.
+MIN_TIMEOUTS = 1
 OWN_EVIDENCE_LIFETIME = 2 * SECOND  # time for which an answer to this router outweighs gossip
 MAX_EJECTED_FRACTION = 1 / 4  # maximum fraction of the listed servers that gossip may eject
 
--- a/applehub/policy/keys.py
+++ b/applehub/policy/keys.py
@@ -126,6 +126,7 @@
             previous_count = counts.add(key, servers)
             if previous_count * servers < counts.total:
                 continue
+            # A server can bear about two fair shares.
             ranges = 2 * previous_count * servers // counts.total
             if not proven:
                 largest = ranges if counts is self.counts[0] else largest
--- a/applehub/policy/placement.py
+++ b/applehub/policy/placement.py
@@ -9,10 +9,14 @@
 from applehub.policy.server_table import ServerTable
 from applehub.policy.servers import SLOW_FRACTION, Server
 
-SLOW_FRACTION_OVER_QUOTA = 1 / 4  # replaces SLOW_FRACTION for requests over quota, which are shed first
+# Replaces SLOW_FRACTION for requests over quota, which are shed first. With a mean latency at this fraction
+# of the objective, e^-4 of the answers are late.
+SLOW_FRACTION_OVER_QUOTA = 1 / 4
 # A server is overloaded above this multiple of its base latency; the second value is for requests over quota.
 QUEUEING_FACTOR, QUEUEING_FACTOR_OVER_QUOTA = 4, 2
-MAX_WARMUP_TOKENS = 2  # maximum number of saved tokens for one warming server, over all processes of a router
+# Maximum number of saved tokens for one warming server, over all processes of a router. With a maximum of
+# one, half of the tokens would be lost.
+MAX_WARMUP_TOKENS = 2
 
 
 class Placement:
--- a/applehub/policy/server_table.py
+++ b/applehub/policy/server_table.py
@@ -14,7 +14,7 @@
 from applehub.policy.servers import Kind, Server
 
 ANSWERED = frozenset((api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR))
-MAX_DISCOVERY_BACKOFF = 3 * SECOND // 2
+MAX_DISCOVERY_BACKOFF = 3 * SECOND // 2  # maximum time from a failed call to discovery until the next one
 STATISTICS_LIFETIME = 600 * SECOND  # age at which saved statistics are ignored
 CONNECTION_BROKEN = frozenset((api.Status.RESET, api.Status.MOOT))
 MAX_BROKEN_ATTEMPTS = 4  # consecutive broken attempts after which a server counts as unreachable
@@ -61,7 +61,8 @@
         """Applies an update of the endpoint list, or schedules another poll after a failed one."""
         if event.kind is api.ListKind.FAILED:
             # A list update must take effect within max_poll_interval even while discovery fails, so the
-            # backoff starts short and is capped.
+            # backoff starts short and is capped. Under the rule on drains a change counts as notified some
+            # seconds later, received or not.
             max_wait = min(MAX_DISCOVERY_BACKOFF, self.context.settings.max_poll_interval) >> max(
                 0, 2 - self.discovery_failures
             )
--- a/applehub/policy/throttle.py
+++ b/applehub/policy/throttle.py
@@ -8,7 +8,7 @@
 # Minimum total of bank and buffer. Berger: from C_J + C_T = 10 on, the throughput is almost independent of
 # arrival rates above r.
 MIN_CAPACITY = 10
-INITIAL_TOKENS = 2
+INITIAL_TOKENS = 2  # few, so that a throttle that is turned on acts at once
 RATE_INCREASE = 1 / 4  # relative increase of r in a healthy period
 MIN_HEALTHY_PERIODS = 8  # consecutive periods with a full bank after which the throttle is turned off
 MIN_SAMPLES = 4  # likely misses needed to judge whether the origin is healthy
@@ -88,7 +88,10 @@
             self.throttle.return_token()
 
     def record(self, healthy: bool, sent: int) -> None:
-        """Counts the result of a likely miss, unless it was sent before the last reduction of r."""
+        """Counts the result of a likely miss, unless it was sent before the last reduction of r.
+
+        Otherwise r would be reduced twice for one overload.
+        """
         self.healthy_count += healthy and sent >= self.reduced_at
         self.unhealthy_count += not healthy and sent >= self.reduced_at
 
--- a/applehub/registry/__main__.py
+++ b/applehub/registry/__main__.py
@@ -23,7 +23,7 @@
 from applehub.registry.service import Service
 from applehub.registry.store import ReplicaStore
 
-START_RETRY_TIMEOUT = 60.0  # seconds during which a failed opening of the store is retried
+START_RETRY_TIMEOUT = 60.0  # seconds of retries to open the store: twice a disk outage of 30 s
 START_RETRY_DELAY = 0.2  # seconds between attempts to open the store
 EXIT_INVALID_CONFIG = 2
 EXIT_STORE_UNUSABLE = 3
--- a/applehub/registry/watchers.py
+++ b/applehub/registry/watchers.py
@@ -4,7 +4,9 @@
 import contextlib
 
 WAKE_BATCH = 64  # watchers woken per event loop iteration, so that other tasks are not delayed
-WAKE_PAUSE = 0.1  # seconds between two rounds of waking; changes in between are sent together
+# Seconds between two rounds of waking; changes in between are sent together. Thousands of answers take as
+# long.
+WAKE_PAUSE = 0.1
 
 
 class Watchers:
--- a/applehub/release/backoff.py
+++ b/applehub/release/backoff.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 INITIAL_DELAY_S = 0.1
-MAX_DELAY_S = 5.0
+MAX_DELAY_S = 5.0  # a disk that accepts writes again is detected within this time
 
 # Errors that may pass without intervention, unlike a missing folder or a lack of permission.
 TRANSIENT_ERRORS = frozenset(
