Abort long writes that the kernel still sends when their client leaves

Need: no attempt begins more than 0.1 s after its client has closed.

Cause: an attempt counted as sent once the kernel had its last byte, so that it went on after its client had left. With 2 MiB in the send queue and an origin that read on 0.1 s after the close, the origin got the complete write.

Change: such an attempt is aborted while the kernel has bytes that it has not sent (SIOCOUTQNSD); the abort discards them. Short requests leave at once, and their attempts go on as before.

Result: test_attempt_is_not_completed_after_its_client_has_left failed before at 2 MiB and passed at 8 MiB; both pass.

--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -73,6 +73,10 @@
 
     unsent: bool  # whether the request is not completely written and so cannot have been executed
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of the request has not left this machine, so that the server cannot have started."""
+
     @property
     def undelivered(self) -> bool:
         """Whether the server has not yet acknowledged the complete request."""
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -147,14 +147,14 @@
         """Cancels a request whose client has disconnected.
 
         An attempt that was sent completely continues, so that its connection can be reused. An attempt that
-        is connecting or partly written is aborted.
+        is connecting or partly sent is aborted.
         """
         if request.open:
             log.debug("request %s cancelled by its client", request.id)
             self._close(request)
             self._process(api.RequestCancelled(request.id))
             carrier = self._carrier(request.attempt)
-            if request.attempt is not None and carrier is not None and carrier.unsent:
+            if request.attempt is not None and carrier is not None and carrier.sending:
                 carrier.abort_attempt()
                 self._attempt_ended(request.attempt, AttemptResult(api.Status.CANCELLED))
             self._remove_if_done(request)
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -16,7 +16,7 @@
 
 from applehub.interface import NOT_STARTED, Status
 from applehub.node.call import AttemptResult, Exchange, NoTimeLeftError
-from applehub.node.send_queue import discard_on_close, unacknowledged_bytes
+from applehub.node.send_queue import discard_on_close, unacknowledged_bytes, unsent_bytes
 from applehub.node.stream import SharedBufferProtocol
 from applehub.node.unread import UnreadInput
 
@@ -156,6 +156,13 @@
             sock.shutdown(socket.SHUT_RDWR)
         self.transport.abort()
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of the request has not left this machine, so that the server cannot have started."""
+        if self.unsent or self.transport is None:
+            return True
+        return unsent_bytes(self.transport.get_extra_info("socket")) > 0
+
     @property
     def undelivered(self) -> bool:
         """Whether the server has not yet acknowledged the complete request."""
--- a/tests/test_undelivered_requests.py
+++ b/tests/test_undelivered_requests.py
@@ -18,6 +18,7 @@
 LONGER = 8 << 20  # bytes; does not
 RECEIVE_BUFFER = 64 * 1024  # bytes of SO_RCVBUF at the origin
 WINDOW = 0.6  # seconds for which the origin remembers an idempotency key
+DETECTION_TIME = 0.1  # seconds after a client's close from which on no attempt may begin
 STALL = 0.15  # seconds of the window that are left for a pause of the process
 
 
@@ -127,6 +128,26 @@
     run(monkeypatch, test)
 
 
+# Guards against a write that is executed for a client that has left, because the rest of it arrives late.
+@pytest.mark.parametrize("size", [LONG, LONGER])
+def test_attempt_is_not_completed_after_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch, size: int
+) -> None:
+    async def test() -> None:
+        async with router_before_origin() as (bench, origin):
+            origin.reading.clear()
+            caller = await bench.caller()
+            caller.send(*write_command(size))
+            await wait_until(lambda: origin.heads)
+            caller.writer.close()
+            await asyncio.sleep(DETECTION_TIME)
+            origin.reading.set()
+            await wait_until(lambda: origin.broken or origin.complete)
+            assert not origin.complete and not bench.driver.requests
+
+    run(monkeypatch, test)
+
+
 @pytest.mark.parametrize("size", [100, LONG])
 def test_retry_that_was_received_in_time_is_answered_after_window(
     monkeypatch: pytest.MonkeyPatch, size: int
