--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,74 +1,70 @@
-"""Case 7: bad clients send much at once that is not a proper request."""
+"""Case 7: many bad clients send a part of a request each and stay, while some long values are written."""
 
 import asyncio
-import contextlib
-import random
-import socket
+import signal
 import sys
-import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import standins2 as s
 
-BAD_CLIENTS = 60
-MUCH = 256 * 1024  # bytes that each of them sends
-NOT_A_REQUEST = b"*1\r\n$1\r\nx\r\n"  # an array of bulk strings whose command does not exist
-STAYS = 10.0  # seconds after which a bad client leaves at the latest
-GOOD_CLIENTS, SECONDS = 10, 15.0
-WAIT = 0.48  # seconds for which a good client waits for its answer, as `d` tells
-LOST_AFTER = 0.5  # seconds after the request's time, from which on it counts as lost
-KEYS = [b"part-%d" % number for number in range(100)]
+MEMORY_MB = 48  # the pages name 32 to 192 MB, and 256 to 1,024 descriptors
+SIZES = (4 << 20, 4 << 20)  # bytes of the long values that are written, 4 MiB at most
+WRITE_TIME = 3.0  # seconds in which a client writes one
+BAD_CLIENTS = 400
+PART = 65_000  # bytes that a bad client sends of its request
+PIECES = 4  # in which it sends them
+BEGIN = 2.0  # seconds after the first write at which they connect
 
 
-def bad_client(port: int) -> None:
-    """Sends much at once and reads what it gets; then leaves."""
-    data = memoryview(NOT_A_REQUEST * (MUCH // len(NOT_A_REQUEST)))
-    with socket.create_connection(("127.0.0.1", port)) as sock:
-        ends_at, sent = time.monotonic() + STAYS, 0
-        sock.settimeout(0.02)
-        while time.monotonic() < ends_at:
-            with contextlib.suppress(TimeoutError):
-                if sent < len(data):
-                    sent += sock.send(data[sent:])
-            with contextlib.suppress(TimeoutError):
-                if not sock.recv(1 << 20):
-                    return
+async def write_slowly(address: tuple[str, int], call_id: bytes, size: int, record: s.Record) -> str:
+    client = await s.Client(address).connect()
+    data = s.command(b"C.SET", b"order-" + call_id, call_id, b"c=despacho,d=2000", b"v" * size)
+    started = time.monotonic()
+    try:
+        for start in range(0, len(data), 131_072):
+            await client.send(data[start : start + 131_072])
+            await asyncio.sleep(max(0.0, started + WRITE_TIME * start / len(data) - time.monotonic()))
+        result = (await client.answer(4)).decode()
+    except (OSError, TimeoutError) as error:
+        result = f"no answer: {error}"
+    client.close()
+    record.note(f"client: {call_id.decode()}: {result}")
+    return result
 
 
-def bad_clients(port: int) -> None:
-    threads = [threading.Thread(target=bad_client, args=(port,)) for _ in range(BAD_CLIENTS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+async def bad_client(address: tuple[str, int]) -> str:
+    """Sends a part of a request and stays; returns what it gets."""
+    client = s.Client(address)
+    try:
+        await client.connect()
+        data = b"*4\r\n$5\r\nC.GET\r\n$65536\r\n" + b"k" * PART
+        for start in range(0, len(data), len(data) // PIECES + 1):
+            await client.send(data[start : start + len(data) // PIECES + 1])
+            await asyncio.sleep(0.02)
+        async with asyncio.timeout(5):
+            return (await client.read_some(1000)).decode().strip() or "a close"
+    except TimeoutError:
+        return "nothing"
+    except OSError as error:
+        return str(error)
+    finally:
+        client.close()
 
 
-async def good_client(number: int, address: tuple[str, int], until: float, record: s.Record) -> list[str]:
-    """Sends one request after another; returns those that were answered too late or never."""
-    rng, lost, count = random.Random(number), [], 0
-    client = await s.Client(address).connect()
-    while time.monotonic() < until:
-        call_id = b"read-%d-%d" % (number, count)
-        count += 1
-        sent_at = time.monotonic()
-        await client.send(s.command(b"C.GET", rng.choice(KEYS), call_id, b"c=consulta,d=%d" % (WAIT * 1000)))
-        try:
-            answer = await client.answer(WAIT + LOST_AFTER + 10)
-        except (OSError, TimeoutError) as error:
-            record.note(f"client: {call_id.decode()}: no answer: {error}")
-            lost.append(call_id.decode())
-            client = await s.Client(address).connect()
-            continue
-        passed = time.monotonic() - sent_at
-        if passed > WAIT + LOST_AFTER + s.GRACE:
-            record.note(f"client: {call_id.decode()}: {answer[:20]!r} after {passed:.3f} s")
-            lost.append(call_id.decode())
-        await asyncio.sleep(rng.expovariate(10))
-    client.close()
-    return lost
+async def enforce(router: s.Router, record: s.Record) -> None:
+    """Kills the router when it uses more memory than `memory_mb`, as the platform does."""
+    process = router.processes[0]
+    while process.returncode is None:
+        used = s.memory_mb(process.pid)
+        if used > MEMORY_MB:
+            record.note(f"platform: the router uses {used:.1f} of {MEMORY_MB} MB and is killed")
+            process.send_signal(signal.SIGKILL)
+            return
+        await asyncio.sleep(0.02)
 
 
 async def case(record: s.Record, routers: list[s.Router]) -> int:
@@ -78,28 +74,26 @@
         await server.start()
     for cache in caches:
         discovery.add(cache.name, cache.port, "simple")
-        cache.values = {key: b"value of " + key for key in KEYS}
     discovery.add("origin-0", origin.port, "origin")
-    router = s.Router(record, discovery, s.settings())
+    router = s.Router(record, discovery, s.settings(), memory_mb=MEMORY_MB)
     routers.append(router)
-    await router.start()
-    until = time.monotonic() + SECONDS
-    good = [
-        asyncio.create_task(good_client(number, router.address, until, record))
-        for number in range(GOOD_CLIENTS)
+    process = await router.start()
+    enforcer = asyncio.create_task(enforce(router, record))
+    writers = [
+        asyncio.create_task(write_slowly(router.address, b"write-%d" % number, size, record))
+        for number, size in enumerate(SIZES)
     ]
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(BEGIN)
+    record.note(f"memory before the bad clients: {s.memory_mb(process.pid):.1f} MB")
     if s.TROUBLE:
-        record.note(f"{BAD_CLIENTS} bad clients send {MUCH} bytes each")
-        bad = await asyncio.create_subprocess_exec(sys.executable, __file__, "bad", str(router.port))
-        await bad.wait()
-        record.note("the bad clients have left")
-    lost = [call_id for result in await asyncio.gather(*good) for call_id in result]
-    record.note(f"requests answered more than {LOST_AFTER} s after their time, or never: {len(lost)}")
-    return s.BROKEN if lost or not router.alive() else s.HELD
+        record.note(f"{BAD_CLIENTS} bad clients connect")
+        answers = Counter(await asyncio.gather(*(bad_client(router.address) for _ in range(BAD_CLIENTS))))
+        record.note(f"bad clients got: {dict(answers)}")
+    record.note(f"long writes: {await asyncio.gather(*writers)}")
+    enforcer.cancel()
+    if process.returncode is None:
+        record.note(f"peak memory: {s.peak_memory_mb(process.pid):.1f} of {MEMORY_MB} MB")
+    return s.HELD if router.alive() else s.BROKEN
 
 
-if sys.argv[1:2] == ["bad"]:
-    bad_clients(int(sys.argv[2]))
-else:
-    s.main(__file__, case)
+s.main(__file__, case)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -28,14 +29,16 @@
 
 
 class Record:
-    """Collects the lines of record.txt."""
+    """Collects the lines of record.txt, which is written when the case ends."""
 
     def __init__(self, folder: Path) -> None:
         self.path, self.started_at, self.lines = folder / "record.txt", time.monotonic(), []
+        self.path.write_text("the case was ended before its end\n")
 
     def note(self, text: str) -> None:
-        line = f"{time.monotonic() - self.started_at:8.3f} {text}"
-        self.lines.append(line)
+        self.lines.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
+
+    def write(self) -> None:
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
@@ -433,6 +436,7 @@
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def peak_memory_mb(pid: int) -> float:
@@ -472,5 +476,6 @@
 
     code = asyncio.run(run())
     record.note(f"exit code {code}, TROUBLE={int(TROUBLE)}")
+    record.write()
     print(record.lines[-1])
     sys.exit(code)
