Parse modules in the layer tests while no finalizer of garbage can run

Cause: CPython 3.11 keeps the recursion count of ast.parse once for the interpreter. Stream writers that earlier tests left open are collected during the parse; their finalizer raises "Event loop is closed", pytest formats that error, and the traceback module calls ast.parse itself for the marks under a line. The count of the outer call is then off.

Ruled out: another thread (all calls came from the main thread) and the parsed sources (alone the test passes).

Change: the tests parse with garbage collection paused, so that no finalizer runs. What they check is unchanged. A new test parses beside garbage whose finalizer fails; without the pause it fails with the same SystemError.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,16 +1,44 @@
 """Import rules of the package: no cycles, no imports of higher layers, no unneeded modules in the router."""
 
 import ast
+import gc
 import subprocess
 import sys
 import tomllib
+import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
 from graphlib import TopologicalSorter
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 LAYERS = ["applehub.interface", "applehub.policy", "applehub.settings", "applehub.node", "applehub.__main__"]
 
 
+@contextmanager
+def garbage_collection_paused() -> Iterator[None]:
+    """Runs a block in which no finalizer of cyclic garbage runs.
+
+    CPython 3.11 counts the recursion of `ast.parse` once for the whole interpreter. A finalizer whose error
+    is formatted calls `ast.parse` too; if it runs within another call, that one fails with a SystemError.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
+def parse_module(source: str) -> ast.Module:
+    """Parses a module's source, whatever garbage earlier tests have left."""
+    with garbage_collection_paused():
+        return ast.parse(source)
+
+
 def imports_by_module() -> dict[str, set[str]]:
     """Returns the modules of the package that each module imports, including imports for type checking."""
     files = {
@@ -20,7 +48,7 @@
     imports_of: dict[str, set[str]] = {}
     for name, file in files.items():
         statements = [
-            node for node in ast.walk(ast.parse(file.read_text())) if isinstance(node, ast.ImportFrom)
+            node for node in ast.walk(parse_module(file.read_text())) if isinstance(node, ast.ImportFrom)
         ]
         imported = {f"{node.module}.{alias.name}" for node in statements for alias in node.names}
         imported |= {node.module for node in statements if node.module}
@@ -33,6 +61,30 @@
     return imports_of
 
 
+class _FailsWhenFinalized:
+    """Cyclic garbage whose finalizer raises an error, as that of a stream writer with a closed event loop."""
+
+    def __init__(self) -> None:
+        self.cycle = self
+
+    def __del__(self) -> None:
+        raise RuntimeError("finalizer failed")
+
+
+# Guards against failures of the tests below that depend on when another test's garbage is collected.
+def test_module_is_parsed_while_finalizers_of_garbage_fail(monkeypatch: pytest.MonkeyPatch) -> None:
+    formatted: list[str] = []
+    monkeypatch.setattr(
+        sys, "unraisablehook", lambda error: formatted.extend(traceback.format_exception(error.exc_value))
+    )
+    for _ in range(20):
+        _FailsWhenFinalized()
+        tree = parse_module("x = [(a + b) * (c + f(d, [e for e in g if e])) for a in b]\n" * 300)
+        assert len(tree.body) == 300
+    gc.collect()
+    assert "finalizer failed" in "".join(formatted)
+
+
 def test_modules_have_no_import_cycle() -> None:
     order = list(TopologicalSorter(imports_by_module()).static_order())  # raises CycleError for a cycle
     assert len(order) > 80
