Close only connections opened before a restart when a list tells of it late

Cause: the connections to close were chosen by the start as converted for slow start, which is never before the last response of discovery that lacked the start. Discovery learns of starts seconds late, so connections to the new process that were opened before that response were closed as well.

Evidence, by a probe at the decision: start 671.945 s, connections opened at 671.946 and 672.005 s, compared with 673.135 s, the time of the last response without the start.

Change: StartTimes gives the earliest time of a start beside the latest. Connections are judged by the earliest, slow start by the latest as before. If the wall clocks disagree or were stepped back, the earliest is 15 s before the last response without the start. Related: a connection counts as opened when it is established, not when connecting began.

--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -10,7 +10,7 @@
 from applehub.node.caches import CacheConnection
 from applehub.node.origin import OriginConnection
 from applehub.node.pool import Endpoint, Pools
-from applehub.node.start_times import ClockReading, StartTimes
+from applehub.node.start_times import ClockReading, Start, StartTimes
 from applehub.settings import Json, Names
 
 NS_PER_S = 1e9
@@ -28,7 +28,7 @@
 
     member: api.Member
     endpoint: Endpoint
-    boot_ms: int  # latest start of the server as listed (Unix time, ms); 0 if it was long ago
+    start: Start
 
 
 def read_endpoint(text: object) -> Endpoint:
@@ -130,17 +130,17 @@
         name, boot, weight = entry["uid"], entry.get("boot_ms") or 0, entry.get("capacity_hint", 1.0)
         if not isinstance(name, str) or not name:
             raise ListError("uid: expected a non-empty string")
-        boot_ms = int(boot) if boot > 0 else 0
+        start = self.start_times.convert(name, int(boot) if boot > 0 else 0, now)
         member = api.Member(
             name,
             STATES[entry["state"]],
             self.names.kinds[entry["model"]],
             self.names.zones[entry["az"]],
             int(entry.get("pod_group") or 0),
-            self.start_times.since(name, boot_ms, now),
+            start.since,
             1.0 if weight is None else float(weight),
         )
-        return Target(member, read_endpoint(entry["endpoint"]), boot_ms)
+        return Target(member, read_endpoint(entry["endpoint"]), start)
 
     def _add(self, target: Target) -> None:
         """Creates the server's pool before the balancer is notified and may send attempts there."""
@@ -157,8 +157,10 @@
         if target.member.state is api.State.GONE:
             self._remove(name)
             return
-        if previous is not None and target.boot_ms > 0 and target.boot_ms != previous.boot_ms:
-            self.pools.pools[name].close_opened_before(target.member.since / NS_PER_S)
+        start = target.start
+        if previous is not None and start.boot_ms > 0 and start.boot_ms != previous.start.boot_ms:
+            # The list may be late, so later connections may belong to the new process, whose answers go on.
+            self.pools.pools[name].close_opened_before(start.earliest / NS_PER_S)
         self._update_pool(target)
 
     def _update_pool(self, target: Target) -> None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -72,7 +72,8 @@
         self.unwritten: Iterator[bytes | memoryview] = iter(())
         self.write_started = False  # whether some of the request was passed to the kernel
         self.unsent = True  # whether the last byte of the request is not yet passed to the kernel
-        self.opened_at = 0.0  # event loop time in seconds
+        # Event loop time in seconds at which it was established or, until then, at which connecting started.
+        self.opened_at = 0.0
         self.idle_since = 0.0  # event loop time in seconds
 
     @abstractmethod
@@ -230,6 +231,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.opened_at = asyncio.get_running_loop().time()
         self.accepted = self.transport.get_extra_info("peername") is not None
         if not self.accepted:
             # After EAGAIN, asyncio treats the connect as pending and then the closed socket as connected.
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -237,6 +237,23 @@
     assert network.pools.open_count == 0 and network.start("c1")
 
 
+# Guards against answers of a new process that are cut off since connecting began before its start.
+async def test_connection_established_after_restart_belongs_to_new_process(
+    make_network: Callable[[int], Network],
+) -> None:
+    network = make_network(MAX_CONNECTIONS)
+    network.add("c0")
+    assert network.start("c0")
+    network.clock += 2
+    restarted_at = network.clock
+    network.clock += 1
+    await network.complete_connect()
+    network.pools.pools["c0"].close_opened_before(restarted_at)
+    (connection,) = network.in_flight()
+    connection.data_received(HIT)
+    assert [result.status for result in network.results] == [api.Status.OK]
+
+
 def _executed_events(operation: Callable[[], object]) -> int:
     """Returns how many lines and calls of the pool module an operation executes."""
     count, previous_trace = 0, sys.gettrace()
