Limit the client commands that are processed in one tick of the event loop

Cause: all commands of a read were processed in one callback. An answer that is ready at once frees its place among the commands in progress, so that the limit of 32 did not apply. Sockets are polled and timers fire between ticks only.

Evidence, by a probe on the event loop: a tick of 3,783 ms, of which 3,775 ms in 64 reads with 356,029 commands, 5,958 at most in one read. Policy, writes and timers had no part in it.

Change: CommandTurns admits 64 commands of all connections in a tick. A connection with more waits in a queue, is not read from, and gets turns of 8 commands. Commands that wait are processed before a shutdown closes their connection, and keep it from counting as idle or partial.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -11,6 +11,7 @@
 from applehub.node import resp
 from applehub.node.arrivals import ArrivalTimes, TimedSelector
 from applehub.node.call import CallError, read_call
+from applehub.node.command_turns import CommandTurns
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver, PendingRequest
 from applehub.node.memory_budget import HELD_ANSWER_FRACTION, LONG_VALUE_FRACTION
@@ -101,6 +102,7 @@
     driver: Driver
     names: Names
     selector: TimedSelector
+    turns: CommandTurns
     close_after_answer: bool  # whether each connection is closed after its next answer
     closing: bool  # whether each connection is closed as soon as it is idle
     connections: "set[ClientConnection]"
@@ -210,6 +212,7 @@
     def _discard_input(self) -> None:
         """Discards unprocessed input and releases its memory."""
         self.frames = resp.FrameParser()
+        self.owner.turns.discard(self)
         self.owner.driver.memory.release(self.reserved_bytes)
         self.reserved_bytes = 0
         self._count_buffers()
@@ -260,6 +263,12 @@
         self.reserved_bytes += size
         return True
 
+    @property
+    def has_waiting_commands(self) -> bool:
+        """Whether received input waits to be processed, for earlier answers or for its connection's turn."""
+        full = self.write_paused or len(self.slots) >= MAX_PIPELINED_COMMANDS
+        return full or self.owner.turns.is_waiting(self)
+
     def _update_command_timer(self) -> None:
         """Starts or stops the timeout for a complete command.
 
@@ -268,8 +277,7 @@
         """
         silent = not self.sent_command and not self.slots
         # While no further command is processed, the buffered input may be complete.
-        processing = not self.write_paused and len(self.slots) < MAX_PIPELINED_COMMANDS
-        partial = bool(self.frames.buffer) and processing
+        partial = bool(self.frames.buffer) and not self.has_waiting_commands
         waiting = self.phase is Phase.OPEN and (silent or partial)
         if waiting and self.command_timer is None:
             self.command_timer = asyncio.get_running_loop().call_later(
@@ -319,9 +327,7 @@
             self.advancing = False
         if self.phase in (Phase.LINGERING, Phase.DISCONNECTED):
             return
-        if not self.slots and (
-            self.phase is Phase.FLUSHING or (self.owner.closing and not self._has_unread_input())
-        ):
+        if not self.slots and (self.phase is Phase.FLUSHING or self._may_close()):
             # A partial command is answered with a rejection, since the client expects an answer to it.
             partial = self.phase is Phase.OPEN and self.frames.buffer
             self._end_sending(resp.busy(0) if self.owner.closing and partial else b"")
@@ -330,6 +336,10 @@
             self._update_reading()
             self._update_command_timer()
 
+    def _may_close(self) -> bool:
+        """Returns whether this connection is to be closed, and all that was received for it was processed."""
+        return self.owner.closing and not self.owner.turns.is_waiting(self) and not self._has_unread_input()
+
     def _has_unread_input(self) -> bool:
         """Returns whether the socket holds unread input, which must be read before sending ends."""
         assert self.transport is not None
@@ -366,13 +376,11 @@
             self.delivery_watch.start(self.transport, self.abort_connection)
 
     def _process_commands(self) -> None:
-        """Processes received commands, up to the limit of commands in progress."""
+        """Processes received commands, up to the limits on commands in progress and on those of one tick."""
         try:
-            while (
-                self.phase is Phase.OPEN
-                and not self.write_paused
-                and len(self.slots) < MAX_PIPELINED_COMMANDS
-            ):
+            while self.phase is Phase.OPEN and not self.has_waiting_commands:
+                if self.frames.buffer and not self.owner.turns.admit(self):
+                    break
                 parts = self.frames.next()
                 if parts is resp.INCOMPLETE:
                     self.arrivals.clear()
@@ -473,7 +481,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         # Input after the last command is read and discarded, which uses no memory and detects a disconnect.
-        full = self.phase is Phase.OPEN and (self.write_paused or len(self.slots) >= MAX_PIPELINED_COMMANDS)
+        full = self.phase is Phase.OPEN and self.has_waiting_commands
         if full:
             self.transport.pause_reading()
             self.arrivals.pause()
--- a/applehub/node/listener.py
+++ b/applehub/node/listener.py
@@ -9,6 +9,7 @@
 from applehub.node.accepting import Acceptor
 from applehub.node.arrivals import running_selector
 from applehub.node.clients import ClientConnection
+from applehub.node.command_turns import CommandTurns
 from applehub.node.descriptors import ConnectionLimits
 from applehub.node.driver import Driver
 from applehub.settings import Names
@@ -36,6 +37,7 @@
     def __init__(self, driver: Driver, names: Names, connection_limits: ConnectionLimits) -> None:
         self.driver, self.names, self.connection_limits = driver, names, connection_limits
         self.selector = running_selector()
+        self.turns = CommandTurns(self.selector)
         self.connections: set[ClientConnection] = set()
         # Connections that are closing or disconnected, oldest first.
         self.lingering: dict[ClientConnection, None] = {}
@@ -80,7 +82,10 @@
         idle = [
             client
             for client in self.connections
-            if client.idle_since < idle_before and not client.slots and client.sent_command
+            if client.idle_since < idle_before
+            and not client.slots
+            and client.sent_command
+            and not self.turns.is_waiting(client)
         ]
         longest_idle = min(idle, key=lambda client: client.idle_since, default=None)
         if longest_idle is None:
