--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -17,10 +17,10 @@
 from test_list_propagation import FaultyDiscovery
 from virtual_time import VirtualTimeLoop, run_in_virtual_time
 
+from applehub.node.answer_slot import Slot
 from applehub.node.caches import CacheConnection
 from applehub.node.call import Exchange
 from applehub.node.call_schedule import MAX_HOLD
-from applehub.node.clients import Slot
 from applehub.node.driver import Driver
 from applehub.node.origin import OriginConnection
 from applehub.node.pool import Connection, Pool
