Collect a long answer with commands behind it, so that it fails alone

Callers saw: a read of a long value, a write that must not run twice and another read were sent at once.

Cause: once a part of a RESP value is written, only the end of the connection tells the client that the rest is missing. Long answers were written as they arrived, whatever waited behind them.

Once a part of an incomplete answer is written, no further command of the connection is read. Waiting pieces are joined up to 4 KiB, since each takes memory of its own.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -144,6 +144,7 @@
         slots, self.slots = self.slots, deque()
         self.count_held_answer(-self.held_bytes)
         for slot in slots:
+            slot.drop()
             if slot.request is not None:
                 self.owner.driver.cancel(slot.request)
 
@@ -169,6 +170,20 @@
         self.held_bytes += change
         self.owner.driver.memory.add(change)
 
+    def reserve_long_answer(self, size: int) -> bool:
+        """Counts a long answer that is collected; returns False if no memory is left for it.
+
+        size: length of the answer in bytes.
+        """
+        if not self.owner.driver.memory.has_room(size, LONG_VALUE_FRACTION):
+            return False
+        self.count_held_answer(size)
+        return True
+
+    def has_commands_behind(self, slot: Slot) -> bool:
+        """Returns whether a later command than that of a slot was received, be it processed yet or not."""
+        return bool(self.frames.buffer) or (bool(self.slots) and self.slots[-1] is not slot)
+
     def release_memory(self) -> None:
         """Releases all that this connection uses of the memory budget."""
         self.owner.driver.memory.release(self.buffered_bytes + self.reserved_bytes + self.held_bytes)
@@ -205,7 +220,9 @@
     def has_waiting_commands(self) -> bool:
         """Whether received input waits to be processed, for earlier answers or for its connection's turn."""
         full = self.write_paused or len(self.slots) >= MAX_PIPELINED_COMMANDS
-        return full or self.owner.turns.is_waiting(self)
+        # A command behind an answer whose server may still fail could be executed and never be answered.
+        interruptible = bool(self.slots) and self.slots[0].interruptible
+        return full or interruptible or self.owner.turns.is_waiting(self)
 
     def _update_command_timer(self) -> None:
         """Starts or stops the timeout for a complete command.
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -35,8 +35,8 @@
     def can_hold(self, size: int) -> bool:
         """Returns whether an answer of `size` bytes is written at once, or memory is left to hold it."""
 
-    def begin_stream(self, stream: Stream) -> None:
-        """Starts to stream a long answer."""
+    def begin_stream(self, stream: Stream, start_by: int) -> None:
+        """Starts to stream a long answer, whose first bytes are due at `start_by` (monotonic ns)."""
 
     def client_is_connected(self) -> bool:
         """Returns whether the client is still connected."""
@@ -338,7 +338,7 @@
         attempt.long_answer_at = time.monotonic_ns()
         self._close(request)
         request.stream = Stream(size, source)
-        request.reply.begin_stream(request.stream)
+        request.reply.begin_stream(request.stream, request.deadline)
         self._process(api.StreamOpened(request.id, attempt.number, attempt.server))
         return request.stream
 
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from abc import abstractmethod
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
 CHUNK_SIZE = 64 * 1024  # maximum number of bytes read from a socket or written to one at once
+MERGED_SIZE = 4096  # bytes up to which waiting chunks are joined, since each takes memory of its own
 _shared_buffer = bytearray(CHUNK_SIZE)
 
 
@@ -49,36 +51,69 @@
     """Forwards one value as a RESP bulk string, with backpressure from the client to the source.
 
     The source is paused while a chunk is buffered and resumed when the client takes it, so that at most the
-    chunks of one read are buffered.
+    chunks of one read are buffered. While the value is collected, the source is never paused.
     """
 
-    __slots__ = ("chunks", "done", "on_data", "source", "started")
+    __slots__ = ("chunks", "collecting", "complete", "on_data", "size", "source", "started")
 
     def __init__(self, size: int, source: Source) -> None:
         """size: length of the value in bytes, which the header of the bulk string announces."""
-        self.source = source
-        self.chunks = [b"$%d\r\n" % size]
-        self.started = self.done = False  # whether data was taken; whether the value is complete
+        self.size, self.source = size, source
+        self.chunks = deque([b"$%d\r\n" % size])
+        self.started = self.complete = (
+            False  # whether data was taken; whether the complete value was received
+        )
+        self.collecting = False
         self.on_data: Callable[[], None] = lambda: None  # called when there is data to take
 
+    @property
+    def done(self) -> bool:
+        """Whether the complete value was received and taken."""
+        return self.complete and not self.chunks
+
+    @property
+    def interruptible(self) -> bool:
+        """Whether a part of the value was taken and the source may still fail to give the rest."""
+        return self.started and not self.complete
+
     def feed(self, chunk: bytes) -> None:
         """Adds a chunk from the source; pauses the source unless the client takes the chunk at once."""
-        self.chunks.append(chunk)
+        if self.chunks and len(self.chunks[-1]) + len(chunk) <= MERGED_SIZE:
+            self.chunks[-1] += chunk
+        else:
+            self.chunks.append(chunk)
         self.on_data()
-        if self.chunks:
+        if self.chunks and not self.collecting:
             self.source.pause()
 
     def end(self) -> None:
         """Marks the value as complete; the source is not used afterwards and may serve another request."""
         self.chunks.append(b"\r\n")
-        self.done = True
+        self.complete = True
         self.on_data()
 
+    def collect(self) -> None:
+        """Receives the value as fast as the source gives it, until `stop_collecting`."""
+        self.collecting = True
+        if not self.complete:
+            self.source.resume()
+
+    def stop_collecting(self) -> None:
+        """Returns to backpressure: the source is read again once the buffered data was taken."""
+        self.collecting = False
+        if self.chunks and not self.complete:
+            self.source.pause()
+
     def take(self) -> bytes:
-        """Removes and returns the buffered data; resumes the source if the value is incomplete."""
+        """Removes and returns buffered data, about CHUNK_SIZE bytes at most.
+
+        Resumes the source if the value is incomplete and nothing is buffered any more.
+        """
         self.started = True
-        taken = b"".join(self.chunks)
-        self.chunks.clear()
-        if not self.done:
+        parts, size = [], 0
+        while self.chunks and size < CHUNK_SIZE:
+            parts.append(self.chunks.popleft())
+            size += len(parts[-1])
+        if not self.complete and not self.chunks:
             self.source.resume()
-        return taken
+        return b"".join(parts)
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,211 @@
+"""A server that fails within a long answer costs that request alone."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from router_bench import MISS, Bench, Caller, Peer, hit, http, router, wait_until
+from virtual_time import run_in_virtual_time
+
+from applehub.node.answer_slot import MAX_COLLECT_TIME
+from applehub.node.resp import command
+from applehub.node.stream import CHUNK_SIZE, MERGED_SIZE
+
+LONG = bytes(range(256)) * 1024
+READ, ONCE = b"c=read,t=acme,d=9000", b"c=once,t=acme,d=9000"
+LONG_READ = command(b"C.GET", b"long", b"long", READ)
+BEHIND = command(b"C.SET", b"order", b"write", ONCE, b"release") + command(b"C.GET", b"k", b"read", READ)
+# Bytes of the response that the server gives before it fails: the header alone, and some of the value.
+GIVEN = {"header": 20, "one chunk": 10_000, "most": len(LONG) - 1000}
+
+
+@dataclass
+class LongAnswers:
+    """A router whose cache server or origin gives a part of the response for the key `long`."""
+
+    bench: Bench
+    server: Peer
+    response: bytes
+
+    def connection(self) -> asyncio.StreamWriter:
+        """Returns the server's side of the connection that carries the long answer."""
+        received = [request[1] in (b"long", b"/long") for request in self.server.received]
+        return self.server.writers[received.index(True)]
+
+    async def caller(self, sent: bytes) -> Caller:
+        """Returns a client that has sent commands, once the server has given its part of the answer."""
+        caller = await self.bench.caller()
+        caller.writer.write(sent)
+        await asyncio.sleep(0.1)
+        return caller
+
+    async def check_released(self) -> None:
+        await wait_until(lambda: not self.bench.driver.requests)
+        await asyncio.sleep(MAX_COLLECT_TIME)
+        assert self.bench.driver.memory.used == 0
+
+
+@asynccontextmanager
+async def long_answers(
+    given: int, from_origin: bool = False, value: bytes = LONG
+) -> AsyncIterator[LongAnswers]:
+    response = http(200, value) if from_origin else hit(value)
+
+    def cache(request: Any, writer: asyncio.StreamWriter) -> bytes:
+        if request[1] != b"long":
+            return hit(b"short")
+        return MISS if from_origin else response[:given]
+
+    def origin(request: Any, writer: asyncio.StreamWriter) -> bytes:
+        return response[:given] if request[1] == b"/long" else http(200, b"receipt")
+
+    async with router(cache, origin) as bench:
+        yield LongAnswers(bench, bench.origin if from_origin else bench.cache, response)
+
+
+# Guards against a write that was executed and is never answered, because a read before it was cut off.
+@pytest.mark.parametrize("from_origin", [False, True], ids=["cache server", "origin"])
+@pytest.mark.parametrize("given", GIVEN.values(), ids=GIVEN)
+def test_answers_behind_long_answer_outlast_its_failure(
+    monkeypatch: pytest.MonkeyPatch, given: int, from_origin: bool
+) -> None:
+    async def test() -> None:
+        async with long_answers(given + 30 * from_origin, from_origin) as long:
+            caller = await long.caller(LONG_READ + BEHIND)
+            await asyncio.sleep(0.2)
+            long.connection().transport.abort()
+            assert [str(await caller.answer()), await caller.answer(), await caller.answer()] == [
+                "ERR failed", b"receipt", b"short"
+            ]  # fmt: skip
+            caller.get(name=b"next")
+            assert await caller.answer() == b"short"
+            await long.check_released()
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+def test_command_received_in_part_before_long_answer_fails_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with long_answers(10_000) as long:
+            caller = await long.caller(LONG_READ + BEHIND[:10])
+            long.connection().transport.abort()
+            assert str(await caller.answer()) == "ERR failed"
+            caller.writer.write(BEHIND[10:])
+            assert [await caller.answer(), await caller.answer()] == [b"receipt", b"short"]
+            await long.check_released()
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+@pytest.mark.parametrize("from_origin", [False, True], ids=["cache server", "origin"])
+@pytest.mark.parametrize("pause", [0.3, 2 * MAX_COLLECT_TIME], ids=["in time", "late"])
+def test_long_answer_with_answers_behind_is_complete(
+    monkeypatch: pytest.MonkeyPatch, from_origin: bool, pause: float
+) -> None:
+    async def test() -> None:
+        value = LONG * 8
+        async with long_answers(1_000_000, from_origin, value) as long:
+            caller = await long.caller(LONG_READ + BEHIND)
+            await asyncio.sleep(pause)
+            long.connection().write(long.response[1_000_000:])
+            assert [await caller.answer() for _ in range(3)] == [value, b"receipt", b"short"]
+            await long.check_released()
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+async def time_of_first_bytes(caller: Caller) -> float:
+    """Returns the seconds until an answer begins."""
+    started = asyncio.get_running_loop().time()
+    assert await caller.reader.read(1) == b"$"
+    return asyncio.get_running_loop().time() - started
+
+
+@pytest.mark.parametrize(("wait_ms", "latest"), [(9000, MAX_COLLECT_TIME), (700, 0.7)])
+def test_long_answer_begins_within_its_time_although_answers_wait_behind(
+    monkeypatch: pytest.MonkeyPatch, wait_ms: int, latest: float
+) -> None:
+    async def test() -> None:
+        async with long_answers(10_000) as long:
+            read = command(b"C.GET", b"long", b"long", b"c=read,t=acme,d=%d" % wait_ms)
+            caller = await long.caller(read + BEHIND)
+            assert latest - 0.25 < await time_of_first_bytes(caller) + 0.1 <= latest
+            assert long.bench.driver.memory.used < CHUNK_SIZE  # only what was received is counted
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+@pytest.mark.parametrize("reason", ["nothing behind", "no memory"])
+def test_long_answer_begins_at_once_if_it_is_not_collected(
+    monkeypatch: pytest.MonkeyPatch, reason: str
+) -> None:
+    async def test() -> None:
+        async with long_answers(10_000) as long:
+            if reason == "no memory":
+                long.bench.driver.memory.limit = len(LONG)
+            caller = await long.caller(LONG_READ if reason == "nothing behind" else LONG_READ + BEHIND)
+            assert await time_of_first_bytes(caller) == 0
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+# Guards against commands that are executed behind an answer that is then cut off, and are never answered.
+def test_commands_behind_answer_that_has_begun_wait_until_it_is_complete(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with long_answers(10_000) as long:
+            caller = await long.caller(LONG_READ)
+            caller.writer.write(BEHIND)
+            await asyncio.sleep(5)
+            assert len(long.bench.driver.requests) == 1 and not long.bench.origin.received
+            long.connection().write(long.response[10_000:])
+            assert [await caller.answer() for _ in range(3)] == [LONG, b"receipt", b"short"]
+            caller.writer.write(LONG_READ)
+            await asyncio.sleep(0.1)
+            caller.writer.write(BEHIND)
+            await asyncio.sleep(5)
+            long.server.writers[-1].transport.abort()
+            assert await caller.answer() is None
+            await long.check_released()
+            assert len(long.bench.origin.received) == 1
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+@pytest.mark.parametrize("client_ends", ["before", "within"], ids=["collected", "being written"])
+def test_memory_of_collected_answer_is_released_when_client_disconnects(
+    monkeypatch: pytest.MonkeyPatch, client_ends: str
+) -> None:
+    async def test() -> None:
+        async with long_answers(len(LONG) // 2) as long:
+            caller = await long.caller(LONG_READ + BEHIND)
+            assert long.bench.driver.memory.used > len(LONG)
+            if client_ends == "within":
+                await asyncio.sleep(2 * MAX_COLLECT_TIME)
+            caller.writer.transport.abort()
+            await long.check_released()
+            assert not long.bench.clients.connections
+
+    run_in_virtual_time(monkeypatch, test)
+
+
+def test_collected_answer_in_short_pieces_uses_few_chunks(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with long_answers(100) as long:
+            caller = await long.caller(LONG_READ + BEHIND)
+            for start in range(100, 40_100, 50):
+                long.connection().write(long.response[start : start + 50])
+                await asyncio.sleep(0.001)
+            (connection,) = long.bench.clients.connections
+            stream = connection.slots[0].stream
+            assert stream is not None and len(stream.chunks) <= 2 * 40_000 / MERGED_SIZE
+            long.connection().write(long.response[40_100:])
+            assert [await caller.answer() for _ in range(3)] == [LONG, b"receipt", b"short"]
+
+    run_in_virtual_time(monkeypatch, test)
