Limit the memory of partial commands, waiting commands and unread answers

Callers saw: 400 bad clients sent 65 kB of a command each and stayed.

Cause: input was counted in the memory budget, and nothing refused it. Beyond the limit only connections that buffered more than 64 KiB were ended, so the sum of the others had no limit.

Evidence, by a probe every 20 ms: before the bad clients 8.4 of 11.5 MB used, all reserved for the writes, and 31.9 MB resident with 402 connections; at the kill 26.5 MB used, 18.1 MB of it input, and 50.4 MB resident.

Change: a read brings at most what is left up to seven eighths of the budget, and 1 KiB in any case. If nothing is left, a partial command of more than 1 KiB is rejected with -BUSY after the earlier answers. Related: complete commands that wait are limited by the same reads, and a connection with unsent answers processes no command while nothing is left.

--- a/applehub/node/arrivals.py
+++ b/applehub/node/arrivals.py
@@ -140,10 +140,10 @@
         if self._bound_until_poll == NO_POLL:
             self._bound_until_poll = self._selector.poll_count + 1
 
-    def record_read(self, size: int, sock: SocketLike) -> None:
-        """Records the arrival of `size` bytes that have just been read."""
+    def record_read(self, size: int, sock: SocketLike, max_size: int = CHUNK_SIZE) -> None:
+        """Records the arrival of `size` bytes that have just been read, of `max_size` at most."""
         arrived_at = self._bound
-        if size == CHUNK_SIZE:  # the socket may hold more input, as old as these bytes
+        if size == max_size:  # the socket may hold more input, as old as these bytes
             self._fixed_bound, self._bound_until_poll = arrived_at, self._selector.poll_count + 1
         self._received += size
         if self._selector.polled_at - arrived_at > LONG_TICK:
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -15,12 +15,13 @@
 from applehub.node.command_turns import CommandTurns
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
-from applehub.node.memory_budget import HELD_ANSWER_FRACTION, LONG_VALUE_FRACTION
+from applehub.node.memory_budget import HELD_ANSWER_FRACTION, INPUT_FRACTION, LONG_VALUE_FRACTION
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import PEER_CLOSED, UnreadInput
 from applehub.settings import Names
 
 MAX_PIPELINED_COMMANDS = 32  # maximum commands of one connection in progress; later commands wait
+FREE_INPUT = 1024  # bytes that a connection may read and buffer although no memory is left for input
 COMMAND_TIMEOUT = 2.5  # seconds for a complete command, from the connection or from the command's first byte
 log = logging.getLogger("applehub")
 
@@ -100,10 +101,17 @@
         self.owner.connection_opened(self)
         self._update_command_timer()
 
+    def max_read_size(self) -> int:
+        """Limits reads to what the memory budget has room for; the memory of a long value is reserved."""
+        if self.phase is not Phase.OPEN:
+            return CHUNK_SIZE  # input is discarded
+        room = self.owner.driver.memory.room(INPUT_FRACTION)
+        return min(CHUNK_SIZE, max(FREE_INPUT, room, self.frames.long_remaining))
+
     def data_received(self, data: bytes) -> None:
         if self.phase is not Phase.OPEN or self.transport is None:
             return
-        self.arrivals.record_read(len(data), self.transport.get_extra_info("socket"))
+        self.arrivals.record_read(len(data), self.transport.get_extra_info("socket"), self.read_size)
         if self.frames.in_value:
             self._cancel_command_timer()  # the timeout restarts with each part of a value
         self.frames.feed(data)
@@ -204,6 +212,8 @@
 
     def resume_writing(self) -> None:
         self.write_paused = False
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits()  # `_limit_output` may have lowered them
         if self.phase in (Phase.LINGERING, Phase.DISCONNECTED):
             return  # a closing connection is watched until it is closed
         self.delivery_watch.stop()
@@ -224,16 +234,22 @@
         interruptible = bool(self.slots) and self.slots[0].interruptible
         return full or interruptible or self.owner.turns.is_waiting(self)
 
+    @property
+    def _has_partial_command(self) -> bool:
+        """Whether the buffered input is a command that the client has not sent completely.
+
+        While no further command is processed, the buffered input may be complete.
+        """
+        return self.phase is Phase.OPEN and bool(self.frames.buffer) and not self.has_waiting_commands
+
     def _update_command_timer(self) -> None:
         """Starts or stops the timeout for a complete command.
 
         Prevents clients that send nothing, or an incomplete command, from using up the connection limit. The
         time of a partial command counts from its first byte, not from the last answer to earlier commands.
         """
-        silent = not self.sent_command and not self.slots
-        # While no further command is processed, the buffered input may be complete.
-        partial = bool(self.frames.buffer) and not self.has_waiting_commands
-        waiting = self.phase is Phase.OPEN and (silent or partial)
+        silent = self.phase is Phase.OPEN and not self.sent_command and not self.slots
+        waiting = silent or self._has_partial_command
         if waiting and self.command_timer is None:
             self.command_timer = asyncio.get_running_loop().call_later(
                 COMMAND_TIMEOUT, self._command_timed_out
@@ -445,5 +461,31 @@
             self.arrivals.resume()
         self.owner.set_reading_paused(self, full)
         self._count_buffers()
-        if self.owner.driver.memory.is_exceeded and self.buffered_bytes > resp.MAX_BUFFERED_VALUE:
+        self._limit_output()
+        memory = self.owner.driver.memory
+        if memory.is_exceeded and self.buffered_bytes > resp.MAX_BUFFERED_VALUE:
             self.transport.abort()
+        elif self._has_partial_command and self._exceeds_input_memory():
+            self._reject_partial_command()
+
+    def _exceeds_input_memory(self) -> bool:
+        """Returns whether this connection buffers input for which no memory is left."""
+        return len(self.frames.buffer) > FREE_INPUT and not self.owner.driver.memory.room(INPUT_FRACTION)
+
+    def _limit_output(self) -> None:
+        """Processes no further command until all answers are sent, if no memory is left for more."""
+        assert self.transport is not None
+        unsent = self.transport.get_write_buffer_size()
+        if unsent and not self.write_paused and not self.owner.driver.memory.room(INPUT_FRACTION):
+            self.transport.set_write_buffer_limits(0)  # calls pause_writing
+
+    def _reject_partial_command(self) -> None:
+        """Rejects a command for whose rest no memory is left; the end of it is read and discarded.
+
+        Without this, clients that send a part of a command and stay would use memory without a limit.
+        """
+        log.info("client rejected: no memory for the rest of a command, %d bytes", len(self.frames.buffer))
+        self._append_answer(self.owner.driver.rejection())
+        self.phase = Phase.FLUSHING
+        self.frames = resp.FrameParser()
+        self.advance()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -120,7 +120,7 @@
             log.debug("request %s rejected: %d ms left", request_id, (time_left + ANSWER_MARGIN) // NS_PER_MS)
             self.metrics.count_response(call.class_name, ResponseResult.SHED)
             # No attempt was started, so the client may retry.
-            reply.set_answer(resp.busy(-(-self.balancer.client_retry_after // NS_PER_MS)))
+            reply.set_answer(self.rejection())
             return None
         request = self.requests[request_id] = PendingRequest(
             request_id, call, reply, answer_by - ANSWER_MARGIN
@@ -143,6 +143,10 @@
         )
         return request
 
+    def rejection(self) -> bytes:
+        """Returns the answer that rejects a command and gives the time after which its client may retry."""
+        return resp.busy(-(-self.balancer.client_retry_after // NS_PER_MS))
+
     def cancel(self, request: PendingRequest) -> None:
         """Cancels a request whose client has disconnected.
 
--- a/applehub/node/memory_budget.py
+++ b/applehub/node/memory_budget.py
@@ -4,6 +4,7 @@
 LONG_VALUE_FRACTION = 3 / 4  # fraction of the budget that long values may use; the rest is left for reads
 # Fraction that answers which wait for earlier ones may use; the rest is left for input and output.
 HELD_ANSWER_FRACTION = 7 / 8
+INPUT_FRACTION = 7 / 8  # fraction up to which input is read freely; the rest is left for short requests
 PROGRAM_MEMORY_MB = 26  # memory of one process without its buffers, after some minutes
 MIN_BUFFER_MEMORY_MB = 4  # minimum for the buffers of all processes together
 
@@ -28,6 +29,10 @@
         """Returns whether the sum with `size` more bytes is at most `fraction` (0 to 1) of the limit."""
         return self.used + size <= self.limit * fraction
 
+    def room(self, fraction: float = 1.0) -> int:
+        """Returns the bytes that are left up to `fraction` (0 to 1) of the limit, 0 if more are counted."""
+        return max(0, int(self.limit * fraction) - self.used)
+
     def release(self, size: int) -> None:
         """Subtracts `size` bytes that were reserved or added."""
         self.used -= size
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -24,9 +24,16 @@
     there, so connections can't overwrite each other's input.
     """
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Returns the shared buffer; ignores the suggested size."""
-        return _shared_buffer
+    read_size = CHUNK_SIZE  # maximum bytes of the current read
+
+    def max_read_size(self) -> int:
+        """Returns the bytes that the next read may bring, 1 to CHUNK_SIZE."""
+        return CHUNK_SIZE
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the shared buffer, as far as it may be filled; ignores the suggested size."""
+        self.read_size = self.max_read_size()
+        return memoryview(_shared_buffer)[: self.read_size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes a copy of the first `nbytes` of the buffer to `data_received`."""
