Reject a write without memory alone, not the commands behind it

Cause: every partial command was taken to have an unknown end. That of a write's value is known from its header.

Change: such a value is discarded as one of over 64 KiB is, the write is rejected once it has come, and the connection goes on. Other partial commands of more than 1 KiB are rejected with a close, as before.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -482,8 +482,12 @@
     def _reject_partial_command(self) -> None:
         """Rejects a command for whose rest no memory is left; the end of it is read and discarded.
 
-        Without this, clients that send a part of a command and stay would use memory without a limit.
+        Without this, clients that send a part of a command and stay would use memory without a limit. The
+        connection stays open if only the value of a write is incomplete, since its end is known then.
         """
+        if self.frames.discard_value():
+            self._count_buffers()
+            return
         log.info("client rejected: no memory for the rest of a command, %d bytes", len(self.frames.buffer))
         self._append_answer(self.owner.driver.rejection())
         self.phase = Phase.FLUSHING
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -105,13 +105,30 @@
             value[-1], self.long_value = self.long_value, None
         return value
 
-    def _start_long_value(self, start: int, end: int, size: int) -> None:
-        """Replaces a long value in the buffer by an empty string.
+    def discard_value(self) -> bool:
+        """Discards the value of an incomplete C.SET command; returns False if no such value is buffered.
+
+        The command is complete as soon as its client has sent the rest, which is discarded as well.
+        """
+        end = self.buffer.find(b"\r\n", self.position, self.position + MAX_LINE)
+        if end < 0 or self.long_value is not None or not self._is_write_value:
+            return False
+        size = int(self.buffer[self.position + 1 : end])  # valid, as the value was scanned before
+        self._start_long_value(self.position, end + 2, size, is_stored=False)
+        return True
+
+    @property
+    def _is_write_value(self) -> bool:
+        """Whether the next item is the value of a C.SET command and may be replaced in the buffer."""
+        return self.admit is not None and self.in_value and WRITE_COMMAND.match(self.buffer) is not None
+
+    def _start_long_value(self, start: int, end: int, size: int, is_stored: bool) -> None:
+        """Replaces a value in the buffer by an empty string.
 
         start, end: position of the header in the buffer. size: length of the value in bytes.
         """
         received = self.buffer[end : end + size]
-        self.long_value = received if self.admit is not None and self.admit(size) else DISCARDED
+        self.long_value = received if is_stored else DISCARDED
         self.long_remaining = size - len(received)
         self.buffer[start : end + len(received)] = b"$0\r\n"
 
@@ -136,10 +153,10 @@
             self.items = _length(line, MAX_ITEMS)
             self.missing += max(0, self.items)
         elif kind == b"$":
-            may_be_long = self.admit is not None and self.in_value and WRITE_COMMAND.match(buffer) is not None
-            size = _length(line, MAX_LONG_VALUE if may_be_long else MAX_BUFFERED_VALUE)
+            size = _length(line, MAX_LONG_VALUE if self._is_write_value else MAX_BUFFERED_VALUE)
             if size > MAX_BUFFERED_VALUE:
-                self._start_long_value(start, end, size)
+                is_stored = self.admit is not None and self.admit(size)
+                self._start_long_value(start, end, size, is_stored)
                 return self._scan_value()
             if size >= 0:
                 if len(buffer) < end + size + 2:
