Keep finalizers out of every ast.parse of the test suite, not of one test alone

Finalizers of garbage that earlier tests left run within any call of ast.parse, and pytest calls it again to format their error.

Change: conftest.py pauses garbage collection in each call, whoever makes it. What the tests check is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,17 +4,41 @@
 no other test at the same time, since the load of other tests would change their results.
 """
 
+import ast
 import asyncio
 import datetime
 import fcntl
+import gc
 from collections.abc import Callable, Generator, Mapping
 from pathlib import Path
+from typing import Any
 
 import hypothesis
 import pytest
 
 from applehub.node import arrivals
 
+_parse = ast.parse
+
+
+def _parse_without_finalizers(*args: Any, **options: Any) -> Any:
+    """Calls `ast.parse` while no finalizer of cyclic garbage can run.
+
+    CPython 3.11 counts the recursion of `ast.parse` once for the whole interpreter. A finalizer whose error
+    is formatted calls `ast.parse` too; if it runs within another call, that one fails with a SystemError.
+    Tests, hypothesis and pytest all call it, beside garbage that other tests have left.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        return _parse(*args, **options)
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
+ast.parse = _parse_without_finalizers
+
 # The slowest tests, by descending duration; they start first in a parallel run.
 SLOW_TESTS = (
     "test_invariants_hold_and_each_mutant_is_detected",
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,8 +6,6 @@
 import sys
 import tomllib
 import traceback
-from collections.abc import Iterator
-from contextlib import contextmanager
 from graphlib import TopologicalSorter
 from pathlib import Path
 
@@ -17,28 +15,6 @@
 LAYERS = ["applehub.interface", "applehub.policy", "applehub.settings", "applehub.node", "applehub.__main__"]
 
 
-@contextmanager
-def garbage_collection_paused() -> Iterator[None]:
-    """Runs a block in which no finalizer of cyclic garbage runs.
-
-    CPython 3.11 counts the recursion of `ast.parse` once for the whole interpreter. A finalizer whose error
-    is formatted calls `ast.parse` too; if it runs within another call, that one fails with a SystemError.
-    """
-    was_enabled = gc.isenabled()
-    gc.disable()
-    try:
-        yield
-    finally:
-        if was_enabled:
-            gc.enable()
-
-
-def parse_module(source: str) -> ast.Module:
-    """Parses a module's source, whatever garbage earlier tests have left."""
-    with garbage_collection_paused():
-        return ast.parse(source)
-
-
 def imports_by_module() -> dict[str, set[str]]:
     """Returns the modules of the package that each module imports, including imports for type checking."""
     files = {
@@ -48,7 +24,7 @@
     imports_of: dict[str, set[str]] = {}
     for name, file in files.items():
         statements = [
-            node for node in ast.walk(parse_module(file.read_text())) if isinstance(node, ast.ImportFrom)
+            node for node in ast.walk(ast.parse(file.read_text())) if isinstance(node, ast.ImportFrom)
         ]
         imported = {f"{node.module}.{alias.name}" for node in statements for alias in node.names}
         imported |= {node.module for node in statements if node.module}
@@ -71,7 +47,7 @@
         raise RuntimeError("finalizer failed")
 
 
-# Guards against failures of the tests below that depend on when another test's garbage is collected.
+# Guards against failures that depend on when another test's garbage is collected; see conftest.
 def test_module_is_parsed_while_finalizers_of_garbage_fail(monkeypatch: pytest.MonkeyPatch) -> None:
     formatted: list[str] = []
     monkeypatch.setattr(
@@ -79,7 +55,7 @@
     )
     for _ in range(20):
         _FailsWhenFinalized()
-        tree = parse_module("x = [(a + b) * (c + f(d, [e for e in g if e])) for a in b]\n" * 300)
+        tree = ast.parse("x = [(a + b) * (c + f(d, [e for e in g if e])) for a in b]\n" * 300)
         assert len(tree.body) == 300
     gc.collect()
     assert "finalizer failed" in "".join(formatted)
