--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -183,9 +183,9 @@
 
         size: length of the answer in bytes.
         """
-        if not self.owner.driver.memory.has_room(size, LONG_VALUE_FRACTION):
+        if not self.owner.driver.memory.reserve(size, LONG_VALUE_FRACTION):
             return False
-        self.count_held_answer(size)
+        self.held_bytes += size
         return True
 
     def has_commands_behind(self, slot: Slot) -> bool:
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -67,9 +67,8 @@
         """size: length of the value in bytes, which the header of the bulk string announces."""
         self.size, self.source = size, source
         self.chunks = deque([b"$%d\r\n" % size])
-        self.started = self.complete = (
-            False  # whether data was taken; whether the complete value was received
-        )
+        self.started = False  # whether data was taken
+        self.complete = False  # whether the complete value was received
         self.collecting = False
         self.on_data: Callable[[], None] = lambda: None  # called when there is data to take
 
--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 import pytest
-from router_bench import WAIT_TIMEOUT, Bench, hit, http, router, wait_until
+from router_bench import Bench, hit, http, router, wait_until
 from test_arrivals import get
 from test_closes import PING, PONG, RawClient
-from test_command_turns import UNKNOWN, UNKNOWN_ANSWER
+from test_command_turns import UNKNOWN, UNKNOWN_ANSWER, read_answers
 from virtual_time import run_in_virtual_time
 
 from applehub.node.clients import FREE_INPUT, ClientConnection
@@ -173,10 +173,7 @@
             assert waiting < FEW_CLIENTS * len(PING) * PINGS // 2
             bench.clients.turns._schedule()
             for client in clients:
-                received = b""
-                while len(received) < len(PONG) * PINGS:
-                    received += await client.read()
-                assert received == PONG * PINGS
+                assert await read_answers(client, len(PONG) * PINGS) == PONG * PINGS
                 client.sock.close()
 
     run_in_virtual_time(monkeypatch, test)
@@ -192,16 +189,6 @@
         self.sock.setblocking(False)
 
 
-async def read_unread_answers(client: RawClient, size: int) -> None:
-    received = 0
-    async with asyncio.timeout(WAIT_TIMEOUT):
-        while received < size:
-            data = await client.read()
-            assert data
-            received += len(data)
-    client.sock.close()
-
-
 # Guards against memory for answers that their clients do not read.
 async def test_unread_answers_stay_within_memory_budget(monkeypatch: pytest.MonkeyPatch) -> None:
     connection_made = ClientConnection.connection_made
@@ -227,6 +214,8 @@
         assert await other.read() == PONG
         other.sock.close()
         size = len(UNKNOWN_ANSWER) * UNREAD_COMMANDS * ROUNDS
-        await asyncio.gather(*[read_unread_answers(client, size) for client in clients])
+        await asyncio.gather(*[read_answers(client, size) for client in clients])
+        for client in clients:
+            client.sock.close()
         await wait_until(lambda: not bench.clients.connections)
         assert not bench.driver.memory.used
--- a/tests/test_late_restart.py
+++ b/tests/test_late_restart.py
@@ -23,7 +23,7 @@
     def __init__(self, bench: Bench, clock_difference: int) -> None:
         self.bench, self.clock_difference = bench, clock_difference
         self.boot_ms = 0
-        self.tell(5, boot_ms=self.listed_ms() - 600_000)  # discovery has answered before
+        self.notify(5, boot_ms=self.listed_ms() - 600_000)  # discovery has answered before
 
     def listed_ms(self) -> int:
         """Returns the current time as the list service gives it (Unix time in ms)."""
@@ -32,16 +32,16 @@
     def happens(self) -> None:
         self.boot_ms = self.listed_ms()
 
-    def tell(self, rev: int, **fields: Any) -> None:
+    def notify(self, rev: int, **fields: Any) -> None:
         changed = [entry("c0", self.bench.cache.address, **fields)] if fields else []
         self.bench.directory.apply(listing(rev, *changed, full_list=False))
 
     async def becomes_known(self) -> None:
         """Discovery answers without the restart a second after it, and tells of it another second later."""
         await asyncio.sleep(1)
-        self.tell(5)
+        self.notify(5)
         await asyncio.sleep(1)
-        self.tell(6, boot_ms=self.boot_ms)
+        self.notify(6, boot_ms=self.boot_ms)
 
 
 def set_wall_clock(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -103,8 +103,6 @@
     """The machine of the old process vanished, so its connections stay open and silent."""
 
     async def test() -> None:
-        set_wall_clock(monkeypatch)
-
         def answer(request: Any, writer: asyncio.StreamWriter) -> bytes | None:
             return hit(LONG)[:SENT_AT_ONCE] if long_answer else None
 
