Count and log the reason of each close, timeout, rejection and retry, with request ids

Change: node/reasons.py names the reasons; the metrics count each once, and a DEBUG line has the ids of the requests concerned. A close that has several causes counts by the first. Nothing is formatted while DEBUG is off.

--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -9,6 +9,7 @@
 
 from applehub.interface import LoadReport, Status
 from applehub.node.memory_budget import MemoryBudget
+from applehub.node.reasons import ServerClose
 from applehub.node.resp import MAX_BUFFERED_VALUE
 from applehub.node.stream import Source, Stream
 from applehub.settings import LOAD_FIELDS, Names
@@ -85,7 +86,7 @@
     def connected(self) -> bool:
         """Whether the connection was established for its current or latest attempt."""
 
-    def abort_attempt(self) -> bool:
+    def abort_attempt(self, reason: ServerClose) -> bool:
         """Aborts the attempt in flight; returns whether the server may have executed it."""
 
 
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -16,6 +16,7 @@
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
 from applehub.node.memory_budget import HELD_ANSWER_FRACTION, INPUT_FRACTION, LONG_VALUE_FRACTION
+from applehub.node.reasons import ClientClose
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import PEER_CLOSED, UnreadInput
 from applehub.settings import Names
@@ -84,6 +85,7 @@
         self.command_timer: asyncio.TimerHandle | None = None
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
+        self.close_reason: ClientClose | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -96,6 +98,7 @@
             log.warning(
                 "client rejected: connection limit reached, connected=%d", len(self.owner.connections)
             )
+            self._note_close(ClientClose.CONNECTION_LIMIT)
             self._end_sending(resp.error("max number of clients reached"))
             return
         self.owner.connection_opened(self)
@@ -127,7 +130,7 @@
     def eof_received(self) -> None:
         self._disconnect()  # at once, since the transport closes only once its write buffer is empty
         if self.transport is not None and self.transport.get_write_buffer_size():
-            self.delivery_watch.start(self.transport, self.abort_connection)
+            self.delivery_watch.start(self.transport, self._abort_unread)
 
     def peer_closed(self) -> None:
         """Handles a disconnect while reading is paused; resumes reading up to the end of the stream."""
@@ -143,10 +146,21 @@
             and not UnreadInput(transport.get_extra_info("socket"), PEER_CLOSED).pending()
         )
 
+    def _note_close(self, reason: ClientClose) -> None:
+        """Counts and logs why the connection is closed, unless an earlier reason is known."""
+        if self.close_reason is not None:
+            return
+        self.close_reason = reason
+        self.owner.driver.metrics.count_reason(reason)
+        if log.isEnabledFor(logging.DEBUG):
+            pending = [slot.request.id for slot in self.slots if slot.request is not None]
+            log.debug("client connection closed: %s, pending requests %s", reason, pending)
+
     def _disconnect(self) -> None:
         """Cancels all pending requests, so that no server works for a disconnected client."""
         if self.phase is Phase.DISCONNECTED:
             return
+        self._note_close(ClientClose.CLIENT_LEFT)
         self.phase = Phase.DISCONNECTED
         self._discard_input()
         slots, self.slots = self.slots, deque()
@@ -207,7 +221,7 @@
     def pause_writing(self) -> None:
         self.write_paused = True
         if self.transport is not None:
-            self.delivery_watch.start(self.transport, self.abort_connection)
+            self.delivery_watch.start(self.transport, self._abort_unread)
         self._update_reading()
 
     def resume_writing(self) -> None:
@@ -264,12 +278,14 @@
 
     def _command_timed_out(self) -> None:
         log.info("closing a client connection: no complete command before the timeout")
+        self._note_close(ClientClose.COMMAND_TIMEOUT)
         self._append_answer(resp.error("Protocol error: no whole command in time"))
         self.phase = Phase.FLUSHING
         self.advance()
 
     def abort_stream(self) -> None:
         """Ends the connection within a value; the client detects by the length that bytes are missing."""
+        self._note_close(ClientClose.ANSWER_CUT_OFF)
         self._disconnect()
         self._end_sending()
 
@@ -278,10 +294,15 @@
         """Whether the client has not taken all that was written to it."""
         return self.transport is not None and untaken_bytes(self.transport) > 0
 
-    def abort_connection(self) -> None:
+    def abort_connection(self, reason: ClientClose) -> None:
+        """Closes the connection at once, with whatever the client has not received."""
+        self._note_close(reason)
         if self.transport is not None:
             self.transport.abort()
 
+    def _abort_unread(self) -> None:
+        self.abort_connection(ClientClose.UNREAD_ANSWERS)
+
     def advance(self) -> None:
         """Processes commands and writes answers, in order, as far as possible.
 
@@ -301,6 +322,7 @@
         if not self.slots and (self.phase is Phase.FLUSHING or self._may_close()):
             # A partial command is answered with a rejection, since the client expects an answer to it.
             partial = self.phase is Phase.OPEN and self.frames.buffer
+            self._note_close(ClientClose.SHUTDOWN)
             self._end_sending(resp.busy(0) if self.owner.closing and partial else b"")
         else:
             self.idle_since = asyncio.get_running_loop().time()
@@ -318,6 +340,7 @@
 
     def close_idle(self) -> None:
         """Closes this idle connection in favour of a new one."""
+        self._note_close(ClientClose.MAKE_ROOM)
         self._end_sending()
 
     def _end_sending(self, answers: bytes = b"") -> None:
@@ -344,7 +367,7 @@
             except OSError:  # the connection is broken, and no read has reported it yet
                 self.transport.abort()
             self.transport.resume_reading()
-            self.delivery_watch.start(self.transport, self.abort_connection)
+            self.delivery_watch.start(self.transport, self._abort_unread)
 
     def _process_commands(self) -> None:
         """Processes received commands, up to the limits on commands in progress and on those of one tick."""
@@ -359,6 +382,7 @@
                 self._handle_command(parts)
         except resp.FramingError as error:
             # The start of the next command is unknown, so the error is the last answer.
+            self._note_close(ClientClose.PROTOCOL_ERROR)
             self._append_answer(resp.error(f"Protocol error: {error}"))
             self.phase = Phase.FLUSHING
 
@@ -376,10 +400,12 @@
                 break
             idle = not self.slots and not self.frames.buffer and self.phase is Phase.OPEN
             if self.owner.close_after_answer and idle and not self._has_unread_input():
+                self._note_close(ClientClose.SHUTDOWN)
                 self._end_sending(b"".join(parts))
                 break
             self.transport.write(b"".join(parts))
-            if self.transport.is_closing():  # the write failed
+            if self.transport.is_closing():
+                self._note_close(ClientClose.WRITE_FAILED)
                 self._disconnect()
         return finished
 
@@ -414,6 +440,7 @@
             )
         elif name == b"QUIT":
             self._append_answer(b"+OK\r\n")
+            self._note_close(ClientClose.QUIT)
             self.phase = Phase.FLUSHING
         else:
             self._append_answer(resp.error("unknown command"))
@@ -464,7 +491,7 @@
         self._limit_output()
         memory = self.owner.driver.memory
         if memory.is_exceeded and self.buffered_bytes > resp.MAX_BUFFERED_VALUE:
-            self.transport.abort()
+            self.abort_connection(ClientClose.MEMORY)
         elif self._has_partial_command and self._exceeds_input_memory():
             self._reject_partial_command()
 
@@ -489,6 +516,7 @@
             self._count_buffers()
             return
         log.info("client rejected: no memory for the rest of a command, %d bytes", len(self.frames.buffer))
+        self._note_close(ClientClose.MEMORY)
         self._append_answer(self.owner.driver.rejection())
         self.phase = Phase.FLUSHING
         self.frames = resp.FrameParser()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -18,6 +18,7 @@
 from applehub.node.memory_budget import MemoryBudget
 from applehub.node.metrics import Metrics, ResponseResult
 from applehub.node.pool import Pools
+from applehub.node.reasons import Rejection, ServerClose, Timeout
 from applehub.node.stream import Source, Stream
 from applehub.policy import Balancer
 
@@ -78,6 +79,7 @@
     attempts_made: int = 0
     local_failures: int = 0  # attempts that could not start because of a failure on this machine
     attempt: Attempt | None = None
+    previous_result: api.Status | None = None  # that of the latest attempt that has ended
     deadline_timer: asyncio.TimerHandle | None = None
 
 
@@ -106,6 +108,8 @@
         """
         request_id = call.id.decode()
         if request_id in self.requests:
+            log.debug("request %s rejected: %s", request_id, Rejection.ID_IN_USE)
+            self.metrics.count_reason(Rejection.ID_IN_USE)
             self.metrics.count_response(call.class_name, ResponseResult.ERRORS)
             reply.set_answer(resp.error("this id is in use"))
             return None
@@ -115,9 +119,15 @@
         )
         answer_by = min(answer_by, self.answer_all_by or answer_by)
         time_left = answer_by - ANSWER_MARGIN - time.monotonic_ns()
-        over_limit = call.value is resp.DISCARDED or len(self.requests) >= self.max_requests
-        if time_left < MIN_TIME_LEFT or over_limit or not self.memory.reserve(call.size):
-            log.debug("request %s rejected: %d ms left", request_id, (time_left + ANSWER_MARGIN) // NS_PER_MS)
+        rejection = self._rejection_reason(call, time_left)
+        if rejection is not None:
+            log.debug(
+                "request %s rejected: %s, %d ms left",
+                request_id,
+                rejection,
+                (time_left + ANSWER_MARGIN) // NS_PER_MS,
+            )
+            self.metrics.count_reason(rejection)
             self.metrics.count_response(call.class_name, ResponseResult.SHED)
             # No attempt was started, so the client may retry.
             reply.set_answer(self.rejection())
@@ -143,6 +153,19 @@
         )
         return request
 
+    def _rejection_reason(self, call: Call, time_left: int) -> Rejection | None:
+        """Returns why a request is rejected; None if it is accepted, and its memory reserved.
+
+        time_left: ns until its answer has to be sent.
+        """
+        if time_left < MIN_TIME_LEFT:
+            return Rejection.NO_TIME_LEFT
+        if len(self.requests) >= self.max_requests:
+            return Rejection.REQUEST_LIMIT
+        if call.value is resp.DISCARDED or not self.memory.reserve(call.size):
+            return Rejection.MEMORY
+        return None
+
     def rejection(self) -> bytes:
         """Returns the answer that rejects a command and gives the time after which its client may retry."""
         return resp.busy(-(-self.balancer.client_retry_after // NS_PER_MS))
@@ -159,13 +182,13 @@
             self._process(api.RequestCancelled(request.id))
             carrier = self._carrier(request.attempt)
             if request.attempt is not None and carrier is not None and carrier.sending:
-                carrier.abort_attempt()
+                carrier.abort_attempt(ServerClose.CLIENT_LEFT)
                 self._attempt_ended(request.attempt, AttemptResult(api.Status.CANCELLED))
             self._remove_if_done(request)
         elif request.stream is not None and request.attempt is not None:
             carrier = self._carrier(request.attempt)
             if carrier is not None:
-                carrier.abort_attempt()
+                carrier.abort_attempt(ServerClose.CLIENT_LEFT)
             self._attempt_ended(request.attempt, AttemptResult(api.Status.CANCELLED))
 
     @staticmethod
@@ -204,6 +227,8 @@
         This bounds the duration of every request, even if the balancer never answers it.
         """
         if request.open:
+            log.debug("request %s overdue", request.id)
+            self.metrics.count_reason(Timeout.REQUEST)
             self._answer(request, resp.FAILED, ResponseResult.ERRORS)
             self._process(api.RequestCancelled(request.id))
             self._remove_if_done(request)
@@ -247,6 +272,7 @@
                 request = self.requests.get(action.id)
                 if request is not None and request.open:
                     if isinstance(action, api.Reject):
+                        self.metrics.count_reason(Rejection.POLICY)
                         rejection = resp.busy(-(-action.retry_after // NS_PER_MS))
                         self._answer(request, rejection, ResponseResult.SHED)
                     else:
@@ -276,6 +302,9 @@
         if pool is None or pool.retired or not allowed or time_limit <= 0:
             self._report_outcome(attempt, AttemptResult(api.Status.MOOT))
             return
+        if request.previous_result is not None:
+            log.debug("request %s retried: %s", request.id, request.previous_result)
+            self.metrics.count_reason(request.previous_result)
         request.attempt = attempt
         attempt.timer = self.loop.call_later(time_limit / NS_PER_S, self._timeout, attempt)
         if action.deliver_by:
@@ -318,11 +347,21 @@
         """
         carrier = self._carrier(attempt)
         if attempt.request.attempt is attempt and carrier is not None:
-            may_have_run = carrier.abort_attempt()
+            state = self._timeout_state(attempt, carrier)
+            log.debug("request %s attempt %d timed out: %s", attempt.request.id, attempt.number, state)
+            self.metrics.count_reason(state)
+            may_have_run = carrier.abort_attempt(ServerClose.TIMEOUT)
             self._attempt_ended(
                 attempt, AttemptResult(api.Status.TIMEOUT if may_have_run else api.Status.MOOT)
             )
 
+    @staticmethod
+    def _timeout_state(attempt: Attempt, carrier: Carrier) -> Timeout:
+        """Returns what an attempt waits for."""
+        if attempt.request.stream is not None:
+            return Timeout.LONG_ANSWER
+        return Timeout.SENDING if carrier.sending else Timeout.RESPONSE
+
     def _start_stream(self, attempt: Attempt, size: int, source: Source) -> Stream | None:
         """Starts to stream a long answer; returns None if the attempt is no longer current.
 
@@ -362,6 +401,7 @@
             return
         carrier = self._carrier(attempt)
         connected = carrier is not None and carrier.connected
+        request.previous_result = result.status
         request.attempt = attempt.exchange = None  # breaks the reference cycle between attempt and exchange
         request.local_failures += result.status in api.NOT_STARTED
         attempt.cancel_timers()
--- a/applehub/node/listener.py
+++ b/applehub/node/listener.py
@@ -12,6 +12,7 @@
 from applehub.node.command_turns import CommandTurns
 from applehub.node.descriptors import ConnectionLimits
 from applehub.node.driver import Driver
+from applehub.node.reasons import ClientClose
 from applehub.settings import Names
 
 BACKLOG = 1024  # connections in the accept queue
@@ -117,7 +118,7 @@
         finished = (client for client in self.lingering if not client.has_untaken_answers)
         closing = next(finished, next(iter(self.lingering)))
         del self.lingering[closing]
-        closing.abort_connection()
+        closing.abort_connection(ClientClose.DESCRIPTOR_LIMIT)
 
     def connection_closed(self, client: ClientConnection) -> None:
         self.lingering.pop(client, None)
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -8,6 +8,7 @@
 from applehub.node.http1 import HttpClient, HttpError, HttpResponse
 from applehub.node.memory_budget import LONG_VALUE_FRACTION, MemoryBudget
 from applehub.node.pool import Connection, Pool
+from applehub.node.reasons import ServerClose
 from applehub.node.resp import MAX_BUFFERED_VALUE, MAX_LONG_VALUE
 
 
@@ -68,12 +69,17 @@
             self.memory.release(self.reserved)
         self.memory, self.reserved = None, 0
 
-    def finish(self, result: AttemptResult, reusable: bool = True) -> None:
+    def finish(
+        self,
+        result: AttemptResult,
+        reusable: bool = True,
+        close_reason: ServerClose = ServerClose.NOT_REUSABLE,
+    ) -> None:
         self._release_memory()  # the client's connection counts the answer as soon as it is handed over
-        super().finish(result, reusable)
+        super().finish(result, reusable, close_reason)
 
-    def close(self) -> None:
-        super().close()
+    def close(self, reason: ServerClose) -> None:
+        super().close(reason)
         self._release_memory()
 
     def handle_loss(self, error: Exception | None = None) -> None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -16,6 +16,8 @@
 
 from applehub.interface import NOT_STARTED, Status
 from applehub.node.call import AttemptResult, Exchange, NoTimeLeftError
+from applehub.node.metrics import Metrics
+from applehub.node.reasons import ServerClose
 from applehub.node.send_queue import discard_on_close, unacknowledged_bytes, unsent_bytes
 from applehub.node.stream import SharedBufferProtocol
 from applehub.node.unread import UnreadInput
@@ -127,25 +129,36 @@
             return False
         return self.exchange.still_wanted()
 
-    def abort_attempt(self) -> bool:
+    def abort_attempt(self, reason: ServerClose) -> bool:
         """Aborts the attempt in flight; returns whether the server may have executed it.
 
         The socket is shut down before this returns, so that a retry never runs beside this attempt. The rest
         of the request is discarded, so that the server cannot receive it later.
         """
-        self.exchange, unsent = None, self.unsent
-        self.close()
+        unsent = self.unsent
+        self.close(reason)
+        self.exchange = None
         return not unsent
 
     def cancel_unstarted(self) -> None:
         """Cancels an attempt of which nothing was written; the balancer decides whether it is retried."""
+        self.close(ServerClose.UNSTARTED)
         exchange, self.exchange = self.exchange, None
-        self.close()
         if exchange is not None:
             exchange.on_done(AttemptResult(Status.MOOT))
 
-    def close(self) -> None:
-        self.pool.drop(self)
+    def _drop(self, reason: ServerClose) -> None:
+        """Removes this connection from its pool; counts and logs the reason the first time."""
+        if not self.pool.drop(self):
+            return
+        self.pool.pools.metrics.count_reason(reason)
+        log.debug(
+            "server connection %s:%d closed: %s, request %s", *self.pool.endpoint, reason, self._request_id()
+        )
+
+    def close(self, reason: ServerClose) -> None:
+        """Closes the connection, without a result for an attempt in flight."""
+        self._drop(reason)
         if self.transport is None:
             if self.connect_task is not None:
                 self.connect_task.cancel()
@@ -194,23 +207,30 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def finish(self, result: AttemptResult, reusable: bool = True) -> None:
-        """Ends the attempt. The connection is released first, so that the callback can reuse it."""
-        exchange, self.exchange = self.exchange, None
+    def finish(
+        self,
+        result: AttemptResult,
+        reusable: bool = True,
+        close_reason: ServerClose = ServerClose.NOT_REUSABLE,
+    ) -> None:
+        """Ends the attempt. The connection is released first, so that the callback can reuse it.
+
+        close_reason: why the connection is closed if it is not reusable.
+        """
+        exchange = self.exchange
         if reusable and not self.unsent:
+            self.exchange = None
             self.resume()  # the stream of a long value may have paused reading
             self.pool.release(self)
         else:
-            self.close()
+            self.close(close_reason)
+            self.exchange = None
         if exchange is not None:
             exchange.on_done(result)
 
     def protocol_error(self) -> None:
         """Ends the attempt with RESET and closes the connection, after an invalid response."""
-        log.debug(
-            "protocol error in a response: request %s, server %s:%d", self._request_id(), *self.pool.endpoint
-        )
-        self.finish(AttemptResult(Status.RESET), reusable=False)
+        self.finish(AttemptResult(Status.RESET), reusable=False, close_reason=ServerClose.PROTOCOL_ERROR)
 
     def handle_loss(self, error: Exception | None = None) -> None:
         """Ends the attempt after the connection was lost or could not be established."""
@@ -220,8 +240,7 @@
             status = Status.MOOT if self.accepted else self.connect_failure
             if isinstance(error, OSError) and status_of_failed_connect(error) in NOT_STARTED:
                 status = status_of_failed_connect(error)  # the write failed on this machine
-        log.debug("connection lost: request %s, server %s:%d", self._request_id(), *self.pool.endpoint)
-        self.pool.drop(self)
+        self._drop(ServerClose.LOST if self.accepted else ServerClose.CONNECT_FAILED)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.on_done(AttemptResult(status))
@@ -240,7 +259,7 @@
         self.unread = UnreadInput(self.transport.get_extra_info("socket"))
         self.transport.set_write_buffer_limits(0)  # pause_writing is called as soon as one byte is buffered
         if self.exchange is None:
-            self.close()
+            self.close(ServerClose.UNSTARTED)
         else:
             self.send_request(self.exchange)
 
@@ -258,7 +277,7 @@
             log.info(
                 "unexpected data from server %s:%d; connection idle for %.1f ms", *self.pool.endpoint, idle_ms
             )
-            self.close()
+            self.close(ServerClose.UNEXPECTED_DATA)
             return
         try:
             self.read(data)
@@ -330,18 +349,21 @@
 
     def release(self, connection: Connection) -> None:
         if self.retired or connection not in self.connections:
-            connection.close()
+            connection.close(ServerClose.RETIRED)
             return
         connection.idle_since = asyncio.get_running_loop().time()
         self.idle.append(connection)
         self.pools.idle[connection] = None
         self.pools.schedule_sweep()
 
-    def drop(self, connection: Connection) -> None:
-        if connection in self.connections:
-            self.connections.remove(connection)
-            self.pools.open_count -= 1
+    def drop(self, connection: Connection) -> bool:
+        """Removes a connection; returns whether it belonged to this pool."""
         self._remove_idle(connection)
+        if connection not in self.connections:
+            return False
+        self.connections.remove(connection)
+        self.pools.open_count -= 1
+        return True
 
     def _remove_idle(self, connection: Connection) -> None:
         if connection in self.pools.idle:
@@ -367,10 +389,9 @@
         restarted_at: event loop time of the restart, in seconds.
         """
         for connection in [candidate for candidate in self.connections if candidate.opened_at < restarted_at]:
-            exchange = connection.exchange
-            unsent = connection.unsent
+            exchange, unsent = connection.exchange, connection.unsent
+            connection.close(ServerClose.RESTARTED)
             connection.exchange = None
-            connection.close()
             if exchange is not None:
                 exchange.on_done(AttemptResult(Status.CONNECT_FAILED if unsent else Status.RESET))
 
@@ -381,8 +402,11 @@
     The cost of an operation does not depend on the number of servers.
     """
 
-    def __init__(self, max_connections: int, dial_timeout: float, keepalive: float) -> None:
-        self.max_connections = max_connections
+    def __init__(
+        self, max_connections: int, dial_timeout: float, keepalive: float, metrics: Metrics | None = None
+    ) -> None:
+        """dial_timeout, keepalive: seconds. metrics: counts the reasons of closes."""
+        self.max_connections, self.metrics = max_connections, metrics or Metrics()
         self.set_timeouts(dial_timeout, keepalive)
         self.pools: dict[str, Pool] = {}
         # Number of connections of all pools, established or connecting, including those of replaced pools.
@@ -420,7 +444,7 @@
         longest_idle = next(iter(self.idle), None)
         if longest_idle is None:
             return False
-        longest_idle.close()
+        longest_idle.close(ServerClose.MAKE_ROOM)
         return True
 
     def schedule_sweep(self) -> None:
@@ -432,6 +456,6 @@
         self.sweep_scheduled = False
         idle_before = asyncio.get_running_loop().time() - self.max_idle
         while self.idle and (longest_idle := next(iter(self.idle))).idle_since < idle_before:
-            longest_idle.close()
+            longest_idle.close(ServerClose.IDLE)
         if self.idle:
             self.schedule_sweep()
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -54,7 +54,7 @@
         settings, names, limits = configuration.settings, configuration.names, configuration.network_limits
         self.metrics = Metrics()
         self.metrics.add_classes(list(names.classes))
-        self.pools = Pools(0, limits.dial_timeout / NS_PER_S, limits.keepalive / NS_PER_S)
+        self.pools = Pools(0, limits.dial_timeout / NS_PER_S, limits.keepalive / NS_PER_S, self.metrics)
         self.balancer = Balancer(settings, configuration.seed)
         self.driver = Driver(self.balancer, self.pools, limits.max_in_flight, self.metrics)
         self.clients = ClientListener(self.driver, names, self._connection_limits())
--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -13,6 +13,7 @@
 
 from applehub import interface as api
 from applehub.lab.fleet.system_call_faults import SystemCall, SystemCallFault, SystemCallFaults
+from applehub.node.reasons import ServerClose
 from applehub.policy.servers import Server
 
 LOCAL_ERRORS = [
@@ -205,7 +206,7 @@
                     await asyncio.sleep(0.02)
                     for pool in bench.pools.pools.values():
                         for connection in list(pool.idle):
-                            connection.close()
+                            connection.close(ServerClose.IDLE)
                 assert 3 <= faults.count() <= 4
             assert servers_with_failures(bench) == ["c1"]
         await origin.stop()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -16,6 +16,7 @@
 from applehub.node.caches import CacheConnection
 from applehub.node.call import AttemptResult, Call, Exchange
 from applehub.node.pool import MIN_IDLE_BEFORE_REUSE, SWEEP_INTERVAL, Connection, Pools
+from applehub.node.reasons import ServerClose
 
 SERVERS = 12
 MAX_CONNECTIONS = 4
@@ -163,8 +164,15 @@
         case 6 | 7 if connection is not None:
             connection.data_received(HIT)
         case 8 if connection is not None:
-            method = rng.choice(["protocol_error", "handle_loss", "abort_attempt", "cancel_unstarted"])
-            getattr(connection, method)()
+            end_attempt: Callable[[], object] = rng.choice(
+                [
+                    connection.protocol_error,
+                    connection.handle_loss,
+                    lambda: connection.abort_attempt(ServerClose.TIMEOUT),
+                    connection.cancel_unstarted,
+                ]
+            )
+            end_attempt()
         case 9 if name in network.pools.pools:
             if rng.random() < 0.5:
                 network.pools.pools[name].retire()
@@ -209,7 +217,7 @@
         case "refused":
             await network.complete_connect(ConnectionRefusedError())
         case "given up":
-            connection.abort_attempt()
+            connection.abort_attempt(ServerClose.TIMEOUT)
         case "retired":
             network.pools.pools["c0"].retire()
         case "replaced":
