Give each long answer a time from its first byte to its last

Cause: the head of a long answer cancelled the attempt's timeout and the request's deadline, and nothing took their place. Its class: a request enters a state that no clock ends. A server that then fell silent, at any point up to the last byte of its reply, left the request and all commands behind it without an end.

Change: a stream begins with the first byte of the value, so a head alone times out and is retried as no response does. The stream owns its time (Stream.expires_at): while nothing was passed on, the request stays open, is retried after a failure as its class allows, and ends by its deadline; once a part was passed on, it ends when the server has made no progress (512 bytes) for 2.5 s, not before the deadline. Time in which the router does not read the server does not count. Answers that wait for others are collected, and a value is passed on incomplete only while it still comes and no server has failed within it. A cache server's value is complete with its own end, whatever of the reply is missing. An attempt that fails within a value counts with its whole duration, so a silent server is slow, not fast.

--- a/applehub/node/answer_slot.py
+++ b/applehub/node/answer_slot.py
@@ -2,7 +2,8 @@
 
 A server may fail within a long answer, after which nothing but the end of the connection tells the client
 that the value is incomplete. Answers to commands behind it would be lost with the connection. Such a long
-answer is therefore collected before any of it is written, as far as time and memory allow.
+answer is therefore collected before any of it is written, as far as time and memory allow. While it is
+collected, another server's value may replace it.
 """
 
 import asyncio
@@ -12,9 +13,6 @@
 from applehub.node.driver import PendingRequest
 from applehub.node.stream import CHUNK_SIZE, Stream
 
-NS_PER_S = 1_000_000_000
-MAX_COLLECT_TIME = 1.5  # seconds; an answer that is held back for 2 s counts as lost
-
 
 class AnsweredConnection(Protocol):
     """The client connection to which answers are written, as a slot uses it."""
@@ -34,6 +32,9 @@
     def reserve_long_answer(self, size: int) -> bool:
         """Counts a long answer that is collected; returns False if no memory is left for it."""
 
+    def is_next(self, slot: "Slot") -> bool:
+        """Returns whether all earlier answers were written."""
+
     def has_commands_behind(self, slot: "Slot") -> bool:
         """Returns whether a later command than that of a slot was received, be it processed yet or not."""
 
@@ -45,8 +46,8 @@
     """The position of one answer in the order of answers of a connection."""
 
     __slots__ = (
-        "answer", "client", "client_is_connected", "collect_timer", "collect_until", "collected", "request",
-        "stream", "taken",
+        "answer", "client", "client_is_connected", "collect_timer", "collected", "request", "stream", "taken",
+        "withdrawn",
     )  # fmt: skip
 
     def __init__(self, client: AnsweredConnection) -> None:
@@ -56,7 +57,7 @@
         self.request: PendingRequest | None = None
         self.stream: Stream | None = None
         self.collected = 0  # bytes of the memory budget for a stream that is or was collected
-        self.collect_until = 0.0  # event loop time in seconds at which a stream is written in any case
+        self.withdrawn = False  # whether a server has failed within the value
         self.collect_timer: asyncio.TimerHandle | None = None
 
     def set_answer(self, answer: bytes) -> None:
@@ -93,16 +94,19 @@
         self.taken += len(part)
         return part
 
-    def begin_stream(self, stream: Stream, start_by: int) -> None:
-        """Sets a long value as the answer; it is written as it arrives, after the earlier answers.
-
-        start_by: monotonic time in ns at which its first bytes are due.
-        """
+    def begin_stream(self, stream: Stream) -> None:
+        """Sets a long value as the answer; it is written as it arrives, after the earlier answers."""
         self.stream = stream
-        self.collect_until = min(start_by / NS_PER_S, asyncio.get_running_loop().time() + MAX_COLLECT_TIME)
+        stream.trusted = not self.withdrawn
         stream.on_data = self.client.advance
         self._collect(stream)
 
+    def withdraw_stream(self) -> None:
+        """Drops a long value of which nothing was written; another answer follows."""
+        self.stream, self.withdrawn = None, True
+        self._cancel_timer()
+        self._release(self.collected)
+
     @property
     def interruptible(self) -> bool:
         """Whether a part of the answer was written, and its server may still fail to give the rest."""
@@ -120,17 +124,21 @@
         return part
 
     def _collect(self, stream: Stream) -> bool:
-        """Collects a stream while later commands wait for it; returns whether it must not be written yet."""
-        if stream.started or stream.complete or not self.client.has_commands_behind(self):
+        """Collects a stream while other answers wait for it, or it for them.
+
+        Returns whether it must not be written yet.
+        """
+        others_wait = self.client.has_commands_behind(self) or not self.client.is_next(self)
+        if stream.started or stream.complete or not others_wait:
             return False
         loop = asyncio.get_running_loop()
-        if loop.time() >= self.collect_until:
+        if stream.may_start(loop.time()):
             return False
         if not stream.collecting:
             if not self.client.reserve_long_answer(stream.size):
                 return False
             self.collected = stream.size
-            self.collect_timer = loop.call_at(self.collect_until, self.client.advance)
+            self.collect_timer = loop.call_at(stream.hold_until, self.client.advance)
             stream.collect()
         return True
 
@@ -153,10 +161,15 @@
             self.collect_timer.cancel()
             self.collect_timer = None
 
-    def drop(self) -> None:
-        """Drops the answer of a client that has disconnected, which has released its memory."""
+    def drop(self) -> PendingRequest | None:
+        """Drops the answer of a client that has disconnected, which has released its memory.
+
+        Returns the request that has to be cancelled, None if there is none.
+        """
         self._cancel_timer()
         self.collected = 0
+        request, self.request, self.stream = self.request, None, None
+        return request
 
     def abort_stream(self) -> None:
         """Closes the connection if a part of the stream was written; otherwise answers with an error."""
--- a/applehub/node/caches.py
+++ b/applehub/node/caches.py
@@ -15,6 +15,9 @@
 from applehub.node.stream import Stream, chunks_of
 
 LONG_VALUE = re.compile(rb"\*([1-8])\r\n\$(\d{1,10})\r\n")  # start of a reply whose first element is a value
+ARRAY_HEADER_SIZE = len(b"*3\r\n")
+EMPTY_VALUE = b"$0\r\n"  # header of the value that replaces a long one in the buffer
+END_OF_VALUE = EMPTY_VALUE + b"\r\n"
 CACHE_NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
@@ -61,13 +64,16 @@
             if self.remaining or self.exchange is None:
                 return
         self.frames.feed(data)
-        if (
-            self.stream is None
-            and (head := LONG_VALUE.match(self.frames.buffer))
-            and int(head[2]) > resp.MAX_BUFFERED_VALUE
-        ):
-            self._start_stream(int(head[2]), head.end())
-            return
+        if self.stream is None and (head := LONG_VALUE.match(self.frames.buffer)):
+            size = int(head[2])
+            if size > resp.MAX_BUFFERED_VALUE:
+                self._start_stream(size, head.end())
+                return
+        if self.stream is not None and self.frames.buffer.startswith(END_OF_VALUE, ARRAY_HEADER_SIZE):
+            self.stream.end()  # the client does not wait for what follows the value
+            self.resume()
+            if self.exchange is None:
+                return
         try:
             reply = self.frames.next()
         except resp.FramingError:
@@ -85,17 +91,19 @@
     def _start_stream(self, size: int, end: int) -> None:
         """Starts to stream a long value of `size` bytes, whose header ends at position `end` of the buffer.
 
-        In the buffer it is replaced by an empty value, so that the rest of the reply is parsed as usual.
+        Until its first byte has come, the attempt can time out and be retried as without the header. In the
+        buffer the value is replaced by an empty one, so that the rest of the reply is parsed as usual.
         """
         if size > resp.MAX_LONG_VALUE or self.exchange is None:
             self.protocol_error()
             return
+        if len(self.frames.buffer) == end:
+            return
         self.stream = self.exchange.on_long_value(size, self)
         if self.stream is None:
             self.finish(AttemptResult(Status.CANCELLED), reusable=False)
             return
         received = bytes(self.frames.buffer[end:])
-        self.frames.replace(b"%b\r\n$0\r\n" % bytes(self.frames.buffer[:2]))
+        self.frames.replace(bytes(self.frames.buffer[:ARRAY_HEADER_SIZE]) + EMPTY_VALUE)
         self.remaining = size
-        if received:
-            self.read(received)
+        self.read(received)
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -166,9 +166,9 @@
         slots, self.slots = self.slots, deque()
         self.count_held_answer(-self.held_bytes)
         for slot in slots:
-            slot.drop()
-            if slot.request is not None:
-                self.owner.driver.cancel(slot.request)
+            request = slot.drop()
+            if request is not None:
+                self.owner.driver.cancel(request)
 
     def _discard_input(self) -> None:
         """Discards unprocessed input and releases its memory."""
@@ -184,8 +184,8 @@
 
         size: length of the answer in bytes.
         """
-        is_next = bool(self.slots) and self.slots[0] is slot and not self.write_paused
-        return is_next or self.owner.driver.memory.has_room(size, HELD_ANSWER_FRACTION)
+        written_at_once = self.is_next(slot) and not self.write_paused
+        return written_at_once or self.owner.driver.memory.has_room(size, HELD_ANSWER_FRACTION)
 
     def count_held_answer(self, change: int) -> None:
         """Updates the memory budget with a change in the bytes of answers that are not written yet."""
@@ -202,6 +202,10 @@
         self.held_bytes += size
         return True
 
+    def is_next(self, slot: Slot) -> bool:
+        """Returns whether all earlier answers were written."""
+        return bool(self.slots) and self.slots[0] is slot
+
     def has_commands_behind(self, slot: Slot) -> bool:
         """Returns whether a later command than that of a slot was received, be it processed yet or not."""
         return bool(self.frames.buffer) or (bool(self.slots) and self.slots[-1] is not slot)
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -24,6 +24,7 @@
 
 NS_PER_S = 1_000_000_000
 ANSWER_MARGIN = 8 * NS_PER_MS  # time before a deadline that is reserved for sending the answer
+STREAM_CHECK_INTERVAL = 0.25  # maximum seconds between two checks of the progress of a long answer
 log = logging.getLogger("applehub")
 
 
@@ -36,8 +37,11 @@
     def can_hold(self, size: int) -> bool:
         """Returns whether an answer of `size` bytes is written at once, or memory is left to hold it."""
 
-    def begin_stream(self, stream: Stream, start_by: int) -> None:
-        """Starts to stream a long answer, whose first bytes are due at `start_by` (monotonic ns)."""
+    def begin_stream(self, stream: Stream) -> None:
+        """Starts to stream a long answer."""
+
+    def withdraw_stream(self) -> None:
+        """Drops a long answer of which nothing was passed on; another answer follows."""
 
     def client_is_connected(self) -> bool:
         """Returns whether the client is still connected."""
@@ -58,17 +62,22 @@
     exchange: Exchange | None = None
     timer: asyncio.TimerHandle | None = None
     delivery_timer: asyncio.TimerHandle | None = None
+    stream_timer: asyncio.TimerHandle | None = None
 
     def cancel_timers(self) -> None:
-        """Cancels the timeout and the check of the delivery."""
-        for timer in (self.timer, self.delivery_timer):
+        """Cancels the timeout, the check of the delivery and that of a long answer."""
+        for timer in (self.timer, self.delivery_timer, self.stream_timer):
             if timer is not None:
                 timer.cancel()
 
 
 @dataclass(slots=True, eq=False)
 class PendingRequest:
-    """A request and its state; it is open until its answer has been given or its stream has started."""
+    """A request and its state.
+
+    It is open until its answer has been given, or a part of a long answer was passed on. A request that is
+    open ends by its deadline, a long answer by `Stream.expires_at`.
+    """
 
     id: str
     call: Call
@@ -83,6 +92,23 @@
     deadline_timer: asyncio.TimerHandle | None = None
 
 
+class LongAnswerObserver:
+    """Updates a request as its long answer is passed on and received."""
+
+    __slots__ = ("driver", "request")
+
+    def __init__(self, driver: "Driver", request: PendingRequest) -> None:
+        self.driver, self.request = driver, request
+
+    def stream_started(self) -> None:
+        """Closes the request, which can't get another answer any more."""
+        self.driver.answer_started(self.request)
+
+    def stream_completed(self) -> None:
+        """Counts the request as answered."""
+        self.driver.answer_completed(self.request)
+
+
 class Driver:
     """Passes events to one Balancer and executes its actions."""
 
@@ -180,16 +206,11 @@
             log.debug("request %s cancelled by its client", request.id)
             self._close(request)
             self._process(api.RequestCancelled(request.id))
-            carrier = self._carrier(request.attempt)
-            if request.attempt is not None and carrier is not None and carrier.sending:
-                carrier.abort_attempt(ServerClose.CLIENT_LEFT)
-                self._attempt_ended(request.attempt, AttemptResult(api.Status.CANCELLED))
-            self._remove_if_done(request)
-        elif request.stream is not None and request.attempt is not None:
-            carrier = self._carrier(request.attempt)
-            if carrier is not None:
-                carrier.abort_attempt(ServerClose.CLIENT_LEFT)
-            self._attempt_ended(request.attempt, AttemptResult(api.Status.CANCELLED))
+        attempt, carrier = request.attempt, self._carrier(request.attempt)
+        if attempt is not None and carrier is not None and (request.stream is not None or carrier.sending):
+            carrier.abort_attempt(ServerClose.CLIENT_LEFT)
+            self._attempt_ended(attempt, AttemptResult(api.Status.CANCELLED))
+        self._remove_if_done(request)
 
     @staticmethod
     def _carrier(attempt: Attempt | None) -> Carrier | None:
@@ -224,9 +245,12 @@
     def _fail_overdue(self, request: PendingRequest) -> None:
         """Fails an open request.
 
-        This bounds the duration of every request, even if the balancer never answers it.
+        This bounds the duration of every request, even if the balancer never answers it. A long answer that
+        waits for earlier answers of its connection, or still comes, is left to `Stream.expires_at`.
         """
-        if request.open:
+        if request.open and request.stream is not None:
+            self._close(request)
+        elif request.open:
             log.debug("request %s overdue", request.id)
             self.metrics.count_reason(Timeout.REQUEST)
             self._answer(request, resp.FAILED, ResponseResult.ERRORS)
@@ -365,7 +389,8 @@
     def _start_stream(self, attempt: Attempt, size: int, source: Source) -> Stream | None:
         """Starts to stream a long answer; returns None if the attempt is no longer current.
 
-        After this call the attempt has no timeout, and the request is not retried.
+        The time of the attempt is that of the stream from now on. The request can still be retried until a
+        part of the answer was passed on.
         """
         request = attempt.request
         if request.attempt is not attempt or not request.open:
@@ -379,18 +404,45 @@
         )
         attempt.cancel_timers()
         attempt.long_answer_at = time.monotonic_ns()
-        self._close(request)
-        request.stream = Stream(size, source)
-        request.reply.begin_stream(request.stream, request.deadline)
+        observer = LongAnswerObserver(self, request)
+        stream = request.stream = Stream(size, source, request.deadline / NS_PER_S, observer)
+        attempt.stream_timer = self.loop.call_at(stream.hold_until, self._check_stream, attempt, stream)
+        request.reply.begin_stream(stream)
         self._process(api.StreamOpened(request.id, attempt.number, attempt.server))
-        return request.stream
+        return stream
+
+    def _check_stream(self, attempt: Attempt, stream: Stream) -> None:
+        """Aborts an attempt whose server has given up within a long answer, or checks it again later."""
+        expires_at = stream.expires_at
+        if expires_at <= self.loop.time():
+            log.info(
+                "server %s stopped within an answer: request %s, %d of %d bytes received",
+                attempt.server,
+                attempt.request.id,
+                stream.received,
+                stream.size,
+            )
+            self._timeout(attempt)
+            return
+        check_at = min(expires_at, self.loop.time() + STREAM_CHECK_INTERVAL)
+        attempt.stream_timer = self.loop.call_at(check_at, self._check_stream, attempt, stream)
+
+    def answer_started(self, request: PendingRequest) -> None:
+        """Records that a part of a long answer was passed on."""
+        self._close(request)
+
+    def answer_completed(self, request: PendingRequest) -> None:
+        """Records that a long answer was received completely."""
+        self.metrics.count_response(request.call.class_name, ResponseResult.OK)
+        self._close(request)
 
     def _end_stream(self, request: PendingRequest, stream: Stream, status: api.Status) -> None:
         request.stream = None
         if status is api.Status.OK:
-            self.metrics.count_response(request.call.class_name, ResponseResult.OK)
             stream.end()
-        elif status is not api.Status.CANCELLED:  # a cancellation by the client is not counted as an error
+        elif request.open:
+            request.reply.withdraw_stream()
+        elif not stream.complete and status is not api.Status.CANCELLED:
             log.debug("request %s: stream aborted: %s", request.id, status)
             self.metrics.count_response(request.call.class_name, ResponseResult.ERRORS)
             request.reply.abort_stream()
@@ -413,8 +465,10 @@
         self._remove_if_done(request)
 
     def _report_outcome(self, attempt: Attempt, result: AttemptResult, connected: bool = False) -> None:
-        request, elapsed = attempt.request, (attempt.long_answer_at or time.monotonic_ns()) - attempt.sent_at
-        number, server, status = attempt.number, attempt.server, result.status
+        request, number, server, status = attempt.request, attempt.number, attempt.server, result.status
+        # The rest of a long answer comes as fast as the client reads it.
+        is_long_answer = status is api.Status.OK and attempt.long_answer_at
+        elapsed = (attempt.long_answer_at if is_long_answer else time.monotonic_ns()) - attempt.sent_at
         log.debug(
             "request %s attempt %d at %s: %s after %.1f ms",
             request.id,
--- a/applehub/node/http1.py
+++ b/applehub/node/http1.py
@@ -26,13 +26,16 @@
 
     host: value of the Host header.
     max_body: maximum length in bytes of a body that is buffered completely.
-    on_long_body: called with the length in bytes of a longer body; returns the function that receives its
-    pieces, or None to abort the response.
+    on_long_body: called with the length in bytes of a longer body once its first byte has come; returns the
+    function that receives its pieces, or None to abort the response.
     may_buffer_long: called with the number of received bytes of a longer body without a Content-Length;
     returns whether the body may be buffered completely.
     """
 
-    __slots__ = ("body_sink", "connection", "host", "max_body", "may_buffer_long", "on_long_body", "response")
+    __slots__ = (
+        "body_sink", "connection", "host", "long_length", "max_body", "may_buffer_long", "on_long_body",
+        "response",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -44,6 +47,7 @@
         self.on_long_body = on_long_body
         self.may_buffer_long = may_buffer_long
         self.body_sink: Callable[[bytes], None] | None = None
+        self.long_length = 0  # length in bytes of an announced long body that has not begun
         self.connection = h11.Connection(h11.CLIENT)
         self.host, self.max_body = host.encode(), max_body
         self.response: HttpResponse | None = None
@@ -80,11 +84,9 @@
                 event = self.connection.next_event()
                 if isinstance(event, h11.Response):
                     self.response = HttpResponse(event.status_code, dict(event.headers))
-                    self._start_long_body(self.response)
-                elif isinstance(event, h11.Data) and self.body_sink is not None:
-                    self.body_sink(bytes(event.data))
+                    self.long_length = self._long_length_of(self.response)
                 elif isinstance(event, h11.Data) and self.response is not None:
-                    self._append_body(self.response, event.data)
+                    self._receive_body(self.response, event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return self.response
                 elif not isinstance(event, h11.InformationalResponse):
@@ -92,8 +94,16 @@
         except h11.RemoteProtocolError as error:
             raise HttpError(str(error)) from None
 
-    def _append_body(self, response: HttpResponse, data: bytes) -> None:
-        """Adds a piece to a body that is buffered completely; raises HttpError if the body is too large."""
+    def _receive_body(self, response: HttpResponse, data: bytes) -> None:
+        """Passes a piece of the body on or buffers it; raises HttpError if the body is too large."""
+        if self.long_length and self.on_long_body is not None:
+            self.body_sink = self.on_long_body(self.long_length)
+            if self.body_sink is None:
+                raise HttpError("response body is too large, or no client waits for it")
+            self.long_length = 0
+        if self.body_sink is not None:
+            self.body_sink(bytes(data))
+            return
         response.body += data
         buffered, has_length = len(response.body), b"content-length" in response.headers
         if buffered > self.max_body and (
@@ -101,17 +111,15 @@
         ):
             raise HttpError("response body is too large")
 
-    def _start_long_body(self, response: HttpResponse) -> None:
-        length = response.headers.get(b"content-length", b"0")  # h11 has checked that it is a number
-        if self.on_long_body is None or response.status != 200 or int(length) <= self.max_body:
-            return
-        self.body_sink = self.on_long_body(int(length))
-        if self.body_sink is None:
-            raise HttpError("response body is too large, or no client waits for it")
+    def _long_length_of(self, response: HttpResponse) -> int:
+        """Returns the announced length of a body that is passed on in pieces, 0 for any other body."""
+        length = int(response.headers.get(b"content-length", b"0"))  # h11 has checked that it is a number
+        is_long = self.on_long_body is not None and response.status == 200 and length > self.max_body
+        return length if is_long else 0
 
     def next_cycle(self) -> bool:
         """Prepares for the next request; returns whether the connection can carry one."""
-        self.response = self.body_sink = None
+        self.response, self.body_sink, self.long_length = None, None, 0
         if self.connection.trailing_data[0]:
             return False
         try:
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -6,8 +6,17 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
+from applehub.node.progress import ProgressMeter
+
 CHUNK_SIZE = 64 * 1024  # maximum number of bytes read from a socket or written to one at once
 MERGED_SIZE = 4096  # bytes up to which waiting chunks are joined, since each takes memory of its own
+# Maximum seconds for which a value is held back for the answers behind it. After 2 s it counts as lost.
+MAX_HOLD_TIME = 1.5
+# Seconds without progress after which a server is given up within a value that is passed on. A peer that
+# stops in the middle of a message and stays is owed a close within 3 s.
+STALL_TIMEOUT = 2.5
+# The same within a value that is held back: its error is due half a second after the answer was.
+HELD_STALL_TIMEOUT = 0.4
 _shared_buffer = bytearray(CHUNK_SIZE)
 
 
@@ -54,22 +63,52 @@
         """Resumes reading the value."""
 
 
+class StreamObserver(Protocol):
+    """Learns of the states that a stream enters."""
+
+    def stream_started(self) -> None:
+        """Records that the first part was passed on, so that the value can't be replaced any more."""
+
+    def stream_completed(self) -> None:
+        """Records that the complete value was received."""
+
+
 class Stream:
     """Forwards one value as a RESP bulk string, with backpressure from the client to the source.
 
     The source is paused while a chunk is buffered and resumed when the client takes it, so that at most the
     chunks of one read are buffered. While the value is collected, the source is never paused.
+
+    The stream is created with the first byte of the value and passes these states:
+
+    - held: nothing was passed on. The value may still be replaced by an error or another server's value.
+    - started: a part was passed on.
+    - complete: the value was received to its end; the rest of the server's response may still be missing.
+
+    `expires_at` bounds all of them by the server's progress. Times are seconds on the event loop's clock.
     """
 
-    __slots__ = ("chunks", "collecting", "complete", "on_data", "size", "source", "started")
+    __slots__ = (
+        "chunks", "collecting", "complete", "due", "hold_until", "observer", "on_data", "progress",
+        "received", "size", "source", "started", "trusted",
+    )  # fmt: skip
+
+    def __init__(self, size: int, source: Source, due: float, observer: StreamObserver) -> None:
+        """size: length of the value in bytes, which the header of the bulk string announces.
 
-    def __init__(self, size: int, source: Source) -> None:
-        """size: length of the value in bytes, which the header of the bulk string announces."""
-        self.size, self.source = size, source
+        due: time at which the answer is due.
+        """
+        self.size, self.source, self.due, self.observer = size, source, due, observer
+        now = asyncio.get_running_loop().time()
+        self.hold_until = min(due, now + MAX_HOLD_TIME)
+        self.progress = ProgressMeter(now)
         self.chunks = deque([b"$%d\r\n" % size])
+        self.received = 0  # bytes of the value
         self.started = False  # whether data was taken
         self.complete = False  # whether the complete value was received
         self.collecting = False
+        # Whether the value may be passed on before it is complete although answers wait behind it.
+        self.trusted = True
         self.on_data: Callable[[], None] = lambda: None  # called when there is data to take
 
     @property
@@ -82,44 +121,81 @@
         """Whether a part of the value was taken and the source may still fail to give the rest."""
         return self.started and not self.complete
 
+    @property
+    def expires_at(self) -> float:
+        """The time at which the source is given up unless it makes progress; infinite while it is paused.
+
+        A source that goes on giving is not given up once a part was passed on, however long it takes.
+        """
+        if self.complete:
+            return self.progress.stalled_at(STALL_TIMEOUT)
+        if self.started:
+            return max(self.due, self.progress.stalled_at(STALL_TIMEOUT))
+        if self.collecting and not self.trusted:
+            return self.hold_until
+        return max(self.hold_until, self.progress.stalled_at(HELD_STALL_TIMEOUT))
+
+    def may_start(self, now: float) -> bool:
+        """Returns whether a held value may be passed on although it is incomplete and answers wait behind."""
+        return self.trusted and self.hold_until <= now < self.expires_at
+
     def feed(self, chunk: bytes) -> None:
         """Adds a chunk from the source; pauses the source unless the client takes the chunk at once."""
+        self.received += len(chunk)
+        self.progress.received(len(chunk), asyncio.get_running_loop().time())
         if self.chunks and len(self.chunks[-1]) + len(chunk) <= MERGED_SIZE:
             self.chunks[-1] += chunk
         else:
             self.chunks.append(chunk)
         self.on_data()
         if self.chunks and not self.collecting:
-            self.source.pause()
+            self._pause_source()
 
     def end(self) -> None:
-        """Marks the value as complete; the source is not used afterwards and may serve another request."""
+        """Marks the value as complete; has no effect if it is already.
+
+        The source is not used afterwards and may serve another request.
+        """
+        if self.complete:
+            return
         self.chunks.append(b"\r\n")
         self.complete = True
+        self.progress.resume(asyncio.get_running_loop().time())
+        self.observer.stream_completed()
         self.on_data()
 
     def collect(self) -> None:
         """Receives the value as fast as the source gives it, until `stop_collecting`."""
         self.collecting = True
         if not self.complete:
-            self.source.resume()
+            self._resume_source()
 
     def stop_collecting(self) -> None:
         """Returns to backpressure: the source is read again once the buffered data was taken."""
         self.collecting = False
         if self.chunks and not self.complete:
-            self.source.pause()
+            self._pause_source()
 
     def take(self) -> bytes:
         """Removes and returns buffered data, about CHUNK_SIZE bytes at most.
 
         Resumes the source if the value is incomplete and nothing is buffered any more.
         """
-        self.started = True
+        if not self.started:
+            self.started = True
+            self.observer.stream_started()
         parts, size = [], 0
         while self.chunks and size < CHUNK_SIZE:
             parts.append(self.chunks.popleft())
             size += len(parts[-1])
         if not self.complete and not self.chunks:
-            self.source.resume()
+            self._resume_source()
         return b"".join(parts)
+
+    def _pause_source(self) -> None:
+        self.progress.pause()
+        self.source.pause()
+
+    def _resume_source(self) -> None:
+        self.progress.resume(asyncio.get_running_loop().time())
+        self.source.resume()
