--- a/applehub/node/progress.py
+++ b/applehub/node/progress.py
@@ -12,10 +12,11 @@
     The time in which the peer is not read does not count, because its bytes may wait in the kernel.
     """
 
-    __slots__ = ("_paused", "_progress_at", "_received")
+    __slots__ = ("_progress_at", "_received", "paused")
 
     def __init__(self, now: float) -> None:
-        self._progress_at, self._received, self._paused = now, 0, False
+        self._progress_at, self._received = now, 0
+        self.paused = False  # whether the peer is not read at present
 
     def received(self, size: int, now: float) -> None:
         """Records received bytes."""
@@ -25,13 +26,13 @@
 
     def pause(self) -> None:
         """Records that the peer is not read until `resume`."""
-        self._paused = True
+        self.paused = True
 
     def resume(self, now: float) -> None:
         """Records that the peer is read; has no effect unless it was paused."""
-        if self._paused:
-            self._progress_at, self._paused = now, False
+        if self.paused:
+            self._progress_at, self.paused = now, False
 
     def stalled_at(self, timeout: float) -> float:
         """Returns the time at which the peer has made no progress for `timeout`; infinite while paused."""
-        return math.inf if self._paused else self._progress_at + timeout
+        return math.inf if self.paused else self._progress_at + timeout
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from applehub.node.progress import ProgressMeter
+from applehub.node.progress import MIN_PROGRESS, ProgressMeter
 
 CHUNK_SIZE = 64 * 1024  # maximum number of bytes read from a socket or written to one at once
 MERGED_SIZE = 4096  # bytes up to which waiting chunks are joined, since each takes memory of its own
@@ -133,6 +133,8 @@
             return max(self.due, self.progress.stalled_at(STALL_TIMEOUT))
         if self.collecting and not self.trusted:
             return self.hold_until
+        if self.received < MIN_PROGRESS and not self.progress.paused:
+            return self.hold_until
         return max(self.hold_until, self.progress.stalled_at(HELD_STALL_TIMEOUT))
 
     def may_start(self, now: float) -> bool:
