Close clients that send next to nothing of a value

Change: the time restarts with 64 bytes of the value, measured by the same ProgressMeter as a server's progress. What steadily comes is not cut off.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -16,6 +16,7 @@
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
 from applehub.node.memory_budget import HELD_ANSWER_FRACTION, INPUT_FRACTION, LONG_VALUE_FRACTION
+from applehub.node.progress import MIN_CLIENT_PROGRESS, ProgressMeter
 from applehub.node.reasons import ClientClose
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import PEER_CLOSED, UnreadInput
@@ -83,6 +84,7 @@
         self.held_bytes = 0  # bytes of the memory budget for answers that are not written yet
         self.delivery_watch = DeliveryWatch()
         self.command_timer: asyncio.TimerHandle | None = None
+        self.value_progress = ProgressMeter(0.0, MIN_CLIENT_PROGRESS)
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
         self.close_reason: ClientClose | None = None
@@ -115,8 +117,9 @@
         if self.phase is not Phase.OPEN or self.transport is None:
             return
         self.arrivals.record_read(len(data), self.transport.get_extra_info("socket"), self.read_size)
-        if self.frames.in_value:
-            self._cancel_command_timer()  # the timeout restarts with each part of a value
+        now = asyncio.get_running_loop().time()
+        if self.frames.in_value and self.value_progress.received(len(data), now):
+            self._cancel_command_timer()  # the timeout restarts with the progress of a value
         self.frames.feed(data)
         self.advance()
 
--- a/applehub/node/progress.py
+++ b/applehub/node/progress.py
@@ -1,9 +1,10 @@
-"""Measures whether a peer that has begun a long value goes on sending it."""
+"""Measures whether a peer that has begun a value goes on sending it."""
 
 import math
 
-# Bytes that count as progress. A peer that sends a byte now and then makes none.
+# Bytes of a long value that count as progress. A server that sends a byte now and then makes none.
 MIN_PROGRESS = 512
+MIN_CLIENT_PROGRESS = 64  # bytes of a client's value, which may be short, that count as progress
 
 
 class ProgressMeter:
@@ -12,17 +13,20 @@
     The time in which the peer is not read does not count, because its bytes may wait in the kernel.
     """
 
-    __slots__ = ("_progress_at", "_received", "paused")
+    __slots__ = ("_min_progress", "_progress_at", "_received", "paused")
 
-    def __init__(self, now: float) -> None:
-        self._progress_at, self._received = now, 0
+    def __init__(self, now: float, min_progress: int = MIN_PROGRESS) -> None:
+        """min_progress: bytes that count as progress."""
+        self._progress_at, self._received, self._min_progress = now, 0, min_progress
         self.paused = False  # whether the peer is not read at present
 
-    def received(self, size: int, now: float) -> None:
-        """Records received bytes."""
+    def received(self, size: int, now: float) -> bool:
+        """Records received bytes; returns whether they complete some progress."""
         self._received += size
-        if self._received >= MIN_PROGRESS:
-            self._progress_at, self._received = now, 0
+        if self._received < self._min_progress:
+            return False
+        self._progress_at, self._received = now, 0
+        return True
 
     def pause(self) -> None:
         """Records that the peer is not read until `resume`."""
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -295,3 +295,51 @@
             assert server.timeouts == 1 and server.latency > WAIT * 1e9 / 2
 
     run_in_virtual_time(monkeypatch, test)
+
+
+class Writing(StrEnum):
+    """What a client does within a command."""
+
+    SILENT = "silent"
+    TRICKLE = "a byte now and then"
+    STEADY = "slow but steady"
+
+
+WRITE = command(b"C.SET", b"k", b"w1", INFO.replace(b"read", b"put") + b",k=1", SHORT)
+CLIENT_STATES = {"name": 8, "key": 22, "list": 60, "value": len(WRITE) - 1000}
+
+
+# Guards against a client that holds a connection and memory for ever, because each byte restarts its time.
+@pytest.mark.parametrize("writing", Writing)
+@pytest.mark.parametrize("given", CLIENT_STATES.values(), ids=CLIENT_STATES)
+def test_client_that_stops_within_command_is_closed(
+    monkeypatch: pytest.MonkeyPatch, given: int, writing: Writing
+) -> None:
+    async def test() -> None:
+        async with router() as bench:
+            caller, loop = await bench.caller(), asyncio.get_running_loop()
+            caller.writer.write(WRITE[:given])
+            started = loop.time()
+
+            async def write_rest() -> None:
+                size = 1 if writing is Writing.TRICKLE else math.ceil((len(WRITE) - given) / STEADY_PIECES)
+                pause = TRICKLE_PAUSE if writing is Writing.TRICKLE else 2 / STEADY_PIECES
+                for start in range(given, len(WRITE), size):
+                    await asyncio.sleep(pause)
+                    caller.writer.write(WRITE[start : start + size])
+
+            rest = asyncio.create_task(write_rest() if writing is not Writing.SILENT else asyncio.sleep(0))
+            answer = await caller.answer()
+            if writing is Writing.STEADY:
+                assert answer == b"from origin"
+            else:
+                assert str(answer).startswith("ERR Protocol error")
+                assert loop.time() - started < STOPPED_PEER_LIMIT
+                assert await caller.answer() is None
+            rest.cancel()
+            await wait_until(lambda: not bench.driver.requests)
+            caller.writer.close()
+            await wait_until(lambda: not bench.clients.connections and not bench.clients.lingering)
+            assert bench.driver.memory.used == 0
+
+    run_in_virtual_time(monkeypatch, test)
