Give the memory of a command's parser back, and limit the names of a list

Cause: each connection had a hiredis reader, whose buffer of twice the largest command is freed only when more data is fed.

Change: a reader lives for one value. A list of more than 64 names is rejected before it is parsed.

--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -14,6 +14,7 @@
 from applehub.node.stream import Source, Stream
 from applehub.settings import LOAD_FIELDS, Names
 
+MAX_INFO_FIELDS = 64  # maximum names of a parameter list; the protocol has about a dozen
 PRINTABLE_ASCII = re.compile(rb"[!-~]+")  # allowed in a client's ids and parameter lists, and in HTTP headers
 LOAD_VALUE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")  # a value in a load report
 MAX_WAIT_MS = 3_600_000
@@ -130,6 +131,8 @@
         or not PRINTABLE_ASCII.fullmatch(info)
     ):
         raise CallError("invalid key, id or list")
+    if info.count(b",") >= MAX_INFO_FIELDS:
+        raise CallError(f"a list of more than {MAX_INFO_FIELDS} names")
     fields: dict[str, str] = {}
     for pair in info.decode().split(","):
         field, equals, value = pair.partition("=")
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -46,6 +46,19 @@
     return int(line)
 
 
+def _parse(encoded: bytes) -> Any:
+    """Returns the complete value that is encoded; raises FramingError.
+
+    A reader keeps a buffer of twice the size of what it has parsed, so it lives for one value only.
+    """
+    reader = hiredis.Reader()
+    reader.feed(encoded)
+    try:
+        return reader.gets()
+    except hiredis.ProtocolError as problem:
+        raise FramingError(str(problem)) from None
+
+
 class FrameParser:
     """Splits a byte stream into complete RESP values.
 
@@ -56,7 +69,7 @@
     discarded if it is not admitted, and an empty string replaces it until the command is complete.
     """
 
-    __slots__ = ("admit", "buffer", "items", "long_remaining", "long_value", "missing", "position", "reader")
+    __slots__ = ("admit", "buffer", "items", "long_remaining", "long_value", "missing", "position")
 
     def __init__(self, admit: Callable[[int], bool] | None = None) -> None:
         self.admit = admit  # called with the length of a long value; returns whether to store it
@@ -66,7 +79,6 @@
         self.items = 0  # number of items of the array that is being scanned
         self.long_remaining = 0  # bytes of a long value not received yet
         self.long_value: bytearray | None = None  # received bytes of the long value, or DISCARDED
-        self.reader = hiredis.Reader()
 
     def feed(self, data: bytes) -> None:
         """Appends received bytes; those of a long value are stored separately."""
@@ -94,13 +106,10 @@
                 return INCOMPLETE
             if self.position > MAX_FRAME or self.missing > MAX_ITEMS:
                 raise FramingError("too large")
-        self.reader.feed(bytes(self.buffer[: self.position]))
+        encoded = bytes(self.buffer[: self.position])
         del self.buffer[: self.position]
         self.position, self.missing, self.items = 0, 1, 0
-        try:
-            value = self.reader.gets()
-        except hiredis.ProtocolError as problem:
-            raise FramingError(str(problem)) from None
+        value = _parse(encoded)
         if self.long_value is not None:
             value[-1], self.long_value = self.long_value, None
         return value
--- /dev/null
+++ b/tests/test_process_memory.py
@@ -0,0 +1,67 @@
+"""The memory of the router process while hundreds of clients send large or unfinished commands."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from router_bench import WAIT_TIMEOUT, Cache, Caller, Web, entry, hit, http
+from test_descriptors import connect_client, running_program
+from test_discovery import listing
+
+from applehub.node.call import MAX_INFO_FIELDS
+from applehub.node.resp import MAX_BUFFERED_VALUE
+
+KB_PER_MB = 1024
+
+
+def peak_memory_mb(pid: int) -> float:
+    """Returns the largest resident memory that a process has had."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / KB_PER_MB
+
+
+async def answers_of(caller: Caller, count: int) -> list[str]:
+    """Returns answers as text, fewer if the connection ends."""
+    answers: list[str] = []
+    while len(answers) < count and (answer := await caller.answer()) is not None:
+        answers.append(str(answer))
+    return answers
+
+
+async def send_lists_of_many_fields(caller: Caller, number: int) -> None:
+    """Sends commands of nearly 64 KiB, whose list of names and values has thousands of fields."""
+    info = b",".join([b"c=once,d=9000", *(b"x%x=" % field for field in range(9_800))])
+    assert len(info) < MAX_BUFFERED_VALUE
+    for attempt in range(3):
+        caller.send(b"C.SET", b"k", b"i%d-%d" % (number, attempt), info, b"v")
+    assert await answers_of(caller, 3) == [f"ERR a list of more than {MAX_INFO_FIELDS} names"] * 3
+
+
+# Guards against a process that is killed for memory which the parser, or the connections themselves, keep.
+@pytest.mark.parametrize(
+    ("memory_mb", "clients", "act"),
+    [(48, 400, send_lists_of_many_fields)],
+    ids=["long lists"],
+)
+async def test_process_stays_within_its_memory(
+    tmp_path: Path, memory_mb: int, clients: int, act: Callable[[Caller, int], Awaitable[None]]
+) -> None:
+    cache, origin = Cache(lambda request, writer: hit()), Web(lambda request, writer: http(200, b"ok"))
+    await cache.start()
+    await origin.start()
+    known = listing(3, entry("c0", cache.address), entry("o", origin.address, model="origin"))
+    limits = {"memory_mb": memory_mb, "sockets": 4 * clients}
+    async with running_program(tmp_path, 4 * clients, known=known, limits=limits) as (running, addresses, _):
+        callers = [await connect_client(addresses["INFO listening on"]) for _ in range(clients)]
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            await asyncio.gather(*(act(caller, number) for number, caller in enumerate(callers)))
+        assert peak_memory_mb(running.pid) <= memory_mb
+        good = await connect_client(addresses["INFO listening on"])
+        good.get()
+        assert await good.answer() == b"v"
+        for caller in (*callers, good):
+            caller.writer.transport.abort()
+    for peer in (cache, origin):
+        await peer.stop()
