Count a client connection's own memory against the room for input

Cause: with 400 connections and 2.7 MB of counted input the resident memory grew by 8.4 MB (limit 32 MB, 3 MB of budget): the connections' objects and what the allocator loses as their buffers grow were counted nowhere.

Change: each client connection takes 4 KiB from the room for input, and from nothing else.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -15,7 +15,12 @@
 from applehub.node.command_turns import CommandTurns
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
-from applehub.node.memory_budget import HELD_ANSWER_FRACTION, INPUT_FRACTION, LONG_VALUE_FRACTION
+from applehub.node.memory_budget import (
+    CONNECTION_OVERHEAD,
+    HELD_ANSWER_FRACTION,
+    INPUT_FRACTION,
+    LONG_VALUE_FRACTION,
+)
 from applehub.node.progress import MIN_CLIENT_PROGRESS, ProgressMeter
 from applehub.node.reasons import ClientClose
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
@@ -91,6 +96,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.owner.driver.memory.overhead += CONNECTION_OVERHEAD
         self.arrivals.resume()
         # asyncio does not set TCP_NODELAY on accepted sockets. This fails if the client has disconnected.
         with contextlib.suppress(OSError):
@@ -125,6 +131,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.owner.driver.memory.overhead -= CONNECTION_OVERHEAD
         self._disconnect()
         self.owner.connection_closed(self)
         self.delivery_watch.stop()
--- a/applehub/node/memory_budget.py
+++ b/applehub/node/memory_budget.py
@@ -5,6 +5,8 @@
 # Fraction that answers which wait for earlier ones may use; the rest is left for input and output.
 HELD_ANSWER_FRACTION = 7 / 8
 INPUT_FRACTION = 7 / 8  # fraction up to which input is read freely; the rest is left for short requests
+# Bytes that a connection of a client takes beside its buffers, with what the allocator loses as they grow.
+CONNECTION_OVERHEAD = 4096
 PROGRAM_MEMORY_MB = 26  # memory of one process without its buffers, after some minutes
 MIN_BUFFER_MEMORY_MB = 4  # minimum for the buffers of all processes together
 
@@ -13,10 +15,11 @@
     """Counts the bytes of all buffers of a process.
 
     limit: maximum in bytes. used: bytes counted at present; `add` may exceed the limit.
+    overhead: bytes of the clients' connections, which leave less room for input.
     """
 
     def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
-        self.limit, self.used = limit, 0
+        self.limit, self.used, self.overhead = limit, 0, 0
 
     def reserve(self, size: int, fraction: float = 1.0) -> bool:
         """Counts `size` bytes if the sum is at most `fraction` (0 to 1) of the limit; else returns False."""
@@ -30,8 +33,8 @@
         return self.used + size <= self.limit * fraction
 
     def room(self, fraction: float = 1.0) -> int:
-        """Returns the bytes that are left up to `fraction` (0 to 1) of the limit, 0 if more are counted."""
-        return max(0, int(self.limit * fraction) - self.used)
+        """Returns the bytes that are left for input up to `fraction` (0 to 1) of the limit, at least 0."""
+        return max(0, int(self.limit * fraction) - self.used - self.overhead)
 
     def release(self, size: int) -> None:
         """Subtracts `size` bytes that were reserved or added."""
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -10,9 +10,11 @@
 from test_discovery import listing
 
 from applehub.node.call import MAX_INFO_FIELDS
-from applehub.node.resp import MAX_BUFFERED_VALUE
+from applehub.node.resp import MAX_BUFFERED_VALUE, command
 
 KB_PER_MB = 1024
+SLOW_VALUE = 40_000  # bytes of a value that is written slowly
+SLOW_PIECE, SLOW_PAUSE = 1000, 0.08  # bytes and seconds
 
 
 def peak_memory_mb(pid: int) -> float:
@@ -39,11 +41,21 @@
     assert await answers_of(caller, 3) == [f"ERR a list of more than {MAX_INFO_FIELDS} names"] * 3
 
 
+async def write_slowly(caller: Caller, number: int) -> None:
+    """Sends most of a value in small pieces, for longer than the connection is kept open without progress."""
+    info = b"c=put,d=9000,k=%d" % number
+    data = command(b"C.SET", b"k%d" % number, b"i%d" % number, info, bytes(SLOW_VALUE))
+    for start in range(0, SLOW_VALUE - 2 * SLOW_PIECE, SLOW_PIECE):
+        caller.writer.write(data[start : start + SLOW_PIECE])
+        await asyncio.sleep(SLOW_PAUSE)
+    await answers_of(caller, 1)
+
+
 # Guards against a process that is killed for memory which the parser, or the connections themselves, keep.
 @pytest.mark.parametrize(
     ("memory_mb", "clients", "act"),
-    [(48, 400, send_lists_of_many_fields)],
-    ids=["long lists"],
+    [(48, 400, send_lists_of_many_fields), (32, 600, write_slowly)],
+    ids=["long lists", "slow values"],
 )
 async def test_process_stays_within_its_memory(
     tmp_path: Path, memory_mb: int, clients: int, act: Callable[[Caller, int], Awaitable[None]]
