Count the waiting parts of long answers and of incomplete responses as memory

Cause: the part of a long answer that waits for its client (64 KiB for each connection to a server) and incomplete responses were counted nowhere.

Change: both count. While no memory is left, a long answer is read 8 KiB at a time; one that would have to wait and can't be collected fails as short answers do; a server is not read once its client takes nothing.

--- a/applehub/node/answer_slot.py
+++ b/applehub/node/answer_slot.py
@@ -35,6 +35,9 @@
     def is_next(self, slot: "Slot") -> bool:
         """Returns whether all earlier answers were written."""
 
+    def has_memory_left(self) -> bool:
+        """Returns whether the answers that wait are within their part of the memory budget."""
+
     def has_commands_behind(self, slot: "Slot") -> bool:
         """Returns whether a later command than that of a slot was received, be it processed yet or not."""
 
@@ -46,7 +49,7 @@
     """The position of one answer in the order of answers of a connection."""
 
     __slots__ = (
-        "answer", "client", "client_is_connected", "collect_timer", "collected", "request", "stream", "taken",
+        "answer", "client", "client_is_connected", "collect_timer", "counted", "request", "stream", "taken",
         "withdrawn",
     )  # fmt: skip
 
@@ -56,7 +59,7 @@
         self.taken = 0  # bytes of the answer that were taken
         self.request: PendingRequest | None = None
         self.stream: Stream | None = None
-        self.collected = 0  # bytes of the memory budget for a stream that is or was collected
+        self.counted = 0  # bytes of the memory budget for the stream
         self.withdrawn = False  # whether a server has failed within the value
         self.collect_timer: asyncio.TimerHandle | None = None
 
@@ -98,14 +101,31 @@
         """Sets a long value as the answer; it is written as it arrives, after the earlier answers."""
         self.stream = stream
         stream.trusted = not self.withdrawn
-        stream.on_data = self.client.advance
+        stream.on_data = self._stream_received
         self._collect(stream)
+        self._count_stream()
 
     def withdraw_stream(self) -> None:
         """Drops a long value of which nothing was written; another answer follows."""
         self.stream, self.withdrawn = None, True
         self._cancel_timer()
-        self._release(self.collected)
+        self._count_stream()
+
+    def _stream_received(self) -> None:
+        """Writes what has come of a stream, as far as possible, and counts the rest."""
+        self.client.advance()
+        self._count_stream()
+        stream = self.stream
+        waits = stream is not None and not stream.started and not stream.collecting
+        if stream is not None and waits and not self.client.has_memory_left():
+            stream.observer.stream_rejected()
+
+    def _count_stream(self) -> None:
+        """Updates the memory budget: a collected stream counts whole, another one as far as it waits."""
+        stream = self.stream
+        size = 0 if stream is None else stream.size if stream.collecting else stream.buffered
+        self.client.count_held_answer(size - self.counted)
+        self.counted = size
 
     @property
     def interruptible(self) -> bool:
@@ -115,12 +135,13 @@
     def _take_from_stream(self, stream: Stream) -> bytes:
         if self._collect(stream):
             return b""
-        self._stop_collecting(stream)
+        if stream.collecting:
+            stream.stop_collecting()
+            self._cancel_timer()
         part = stream.take()
-        self._release(len(part))
         if stream.done:
             self.answer, self.request, self.stream = b"", None, None
-            self._release(self.collected)
+        self._count_stream()
         return part
 
     def _collect(self, stream: Stream) -> bool:
@@ -137,25 +158,11 @@
         if not stream.collecting:
             if not self.client.reserve_long_answer(stream.size):
                 return False
-            self.collected = stream.size
+            self.counted += stream.size
             self.collect_timer = loop.call_at(stream.hold_until, self.client.advance)
             stream.collect()
         return True
 
-    def _stop_collecting(self, stream: Stream) -> None:
-        """Ends the collection of a stream, and releases the memory for what was not received in time."""
-        if not stream.collecting:
-            return
-        stream.stop_collecting()
-        self._cancel_timer()
-        self._release(self.collected - sum(map(len, stream.chunks)))
-
-    def _release(self, size: int) -> None:
-        """Releases at most `size` bytes of the memory budget for the stream."""
-        released = max(0, min(size, self.collected))
-        self.collected -= released
-        self.client.count_held_answer(-released)
-
     def _cancel_timer(self) -> None:
         if self.collect_timer is not None:
             self.collect_timer.cancel()
@@ -167,7 +174,7 @@
         Returns the request that has to be cancelled, None if there is none.
         """
         self._cancel_timer()
-        self.collected = 0
+        self.counted = 0
         request, self.request, self.stream = self.request, None, None
         return request
 
@@ -175,7 +182,7 @@
         """Closes the connection if a part of the stream was written; otherwise answers with an error."""
         stream, self.request, self.stream = self.stream, None, None
         self._cancel_timer()
-        self._release(self.collected)
+        self._count_stream()
         if stream is not None and stream.started:
             self.client.abort_stream()
         else:
--- a/applehub/node/caches.py
+++ b/applehub/node/caches.py
@@ -56,6 +56,14 @@
         yield from chunks_of(call.value)
         yield b"\r\n"
 
+    @property
+    def in_long_value(self) -> bool:
+        return self.stream is not None
+
+    @property
+    def buffered_size(self) -> int:
+        return len(self.frames.buffer)
+
     def read(self, data: bytes) -> None:
         if self.remaining and self.stream is not None:
             piece, data = data[: self.remaining], data[self.remaining :]
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -212,6 +212,10 @@
         self.held_bytes += size
         return True
 
+    def has_memory_left(self) -> bool:
+        """Returns whether the answers that wait are within their part of the memory budget."""
+        return self.owner.driver.memory.has_room(0, HELD_ANSWER_FRACTION)
+
     def is_next(self, slot: Slot) -> bool:
         """Returns whether all earlier answers were written."""
         return bool(self.slots) and self.slots[0] is slot
@@ -236,6 +240,8 @@
         self.write_paused = True
         if self.transport is not None:
             self.delivery_watch.start(self.transport, self._abort_unread)
+        if self.slots and self.slots[0].stream is not None:
+            self.slots[0].stream.pause()
         self._update_reading()
 
     def resume_writing(self) -> None:
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -108,6 +108,10 @@
         """Counts the request as answered."""
         self.driver.answer_completed(self.request)
 
+    def stream_rejected(self) -> None:
+        """Fails the request."""
+        self.driver.reject_long_answer(self.request)
+
 
 class Driver:
     """Passes events to one Balancer and executes its actions."""
@@ -436,6 +440,21 @@
         self.metrics.count_response(request.call.class_name, ResponseResult.OK)
         self._close(request)
 
+    def reject_long_answer(self, request: PendingRequest) -> None:
+        """Fails a request whose long answer has to wait and finds no memory."""
+        attempt, carrier = request.attempt, self._carrier(request.attempt)
+        if attempt is None or carrier is None:
+            return
+        log.debug("request %s: no memory for a long answer", request.id)
+        carrier.abort_attempt(ServerClose.MEMORY)
+        request.stream = None
+        request.reply.withdraw_stream()
+        if request.open:
+            self._answer(request, resp.FAILED, ResponseResult.ERRORS)
+        else:
+            request.reply.set_answer(resp.FAILED)
+        self._attempt_ended(attempt, AttemptResult(api.Status.CANCELLED))
+
     def _end_stream(self, request: PendingRequest, stream: Stream, status: api.Status) -> None:
         request.stream = None
         if status is api.Status.OK:
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -45,6 +45,15 @@
         target = f"/{quote_from_bytes(call.key, safe='')}".encode()
         yield from self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
 
+    @property
+    def in_long_value(self) -> bool:
+        return self.http.body_sink is not None
+
+    @property
+    def buffered_size(self) -> int:
+        response = self.http.response
+        return len(response.body) if response is not None and not self.reserved else 0
+
     def _start_stream(self, size: int) -> Callable[[bytes], None] | None:
         stream = self.exchange.on_long_value(size, self) if self.exchange and size <= MAX_LONG_VALUE else None
         return stream.feed if stream is not None else None
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -16,10 +16,11 @@
 
 from applehub.interface import NOT_STARTED, Status
 from applehub.node.call import AttemptResult, Exchange, NoTimeLeftError
+from applehub.node.memory_budget import INPUT_FRACTION, MemoryBudget
 from applehub.node.metrics import Metrics
 from applehub.node.reasons import ServerClose
 from applehub.node.send_queue import discard_on_close, unacknowledged_bytes, unsent_bytes
-from applehub.node.stream import SharedBufferProtocol
+from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import UnreadInput
 
 MAX_IDLE_SECONDS = 10.0  # a connection that is idle for longer is closed: it costs more than a new one
@@ -27,6 +28,7 @@
 # it.
 KEEPALIVE_FRACTION = 0.8
 SWEEP_INTERVAL = 1.0  # seconds between two sweeps, which close connections that were idle for too long
+FREE_READ = 8192  # bytes of a long value that are read at once although no memory is left
 MAX_PROCESS_STALL = 0.15  # maximum seconds between reading the clock and the write that depends on it
 # Seconds for which a connection is not reused after a response. A duplicate response cannot be distinguished
 # from the response to the next request, so it must arrive while the connection is idle. It comes up to 4 ms
@@ -77,6 +79,8 @@
         # Event loop time in seconds at which it was established or, until then, at which connecting started.
         self.opened_at = 0.0
         self.idle_since = 0.0  # event loop time in seconds
+        self.budget: MemoryBudget | None = None  # accounts for what is buffered of a response
+        self.counted_size = 0  # bytes of an incomplete response in the memory budget
 
     @abstractmethod
     def encode(self, exchange: Exchange) -> Iterator[bytes | memoryview]:
@@ -89,10 +93,33 @@
     def read(self, data: bytes) -> None:
         """Processes data received during an attempt; calls finish or protocol_error when the attempt ends."""
 
+    @property
+    @abstractmethod
+    def in_long_value(self) -> bool:
+        """Whether a long value is being received, which is passed on piece by piece."""
+
+    @property
+    @abstractmethod
+    def buffered_size(self) -> int:
+        """The bytes of an incomplete response that are buffered."""
+
+    def max_read_size(self) -> int:
+        """Limits reads of a long value to what the memory budget has room for."""
+        if self.budget is None or not self.in_long_value:
+            return CHUNK_SIZE
+        return min(CHUNK_SIZE, max(FREE_READ, self.budget.room(INPUT_FRACTION)))
+
+    def _count_buffer(self, size: int) -> None:
+        """Updates the memory budget with the bytes of an incomplete response."""
+        if self.budget is not None:
+            self.budget.add(size - self.counted_size)
+            self.counted_size = size
+
     def send_request(self, exchange: Exchange) -> None:
         """Starts an attempt on an established connection."""
         self.exchange, self.write_started, self.unsent = exchange, False, True
         self.attempts_started += 1
+        self.budget = exchange.memory
         self.unwritten = self.encode(exchange)
         self._write_pending()
 
@@ -149,6 +176,7 @@
 
     def _drop(self, reason: ServerClose) -> None:
         """Removes this connection from its pool; counts and logs the reason the first time."""
+        self._count_buffer(0)
         if not self.pool.drop(self):
             return
         self.pool.pools.metrics.count_reason(reason)
@@ -284,6 +312,7 @@
         except Exception:
             log.exception("failed to process a response")
             self.protocol_error()
+        self._count_buffer(self.buffered_size if self.exchange is not None else 0)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.handle_loss(exc)
--- a/applehub/node/reasons.py
+++ b/applehub/node/reasons.py
@@ -32,6 +32,7 @@
     CLIENT_LEFT = "client_left"
     PROTOCOL_ERROR = "protocol_error"
     UNEXPECTED_DATA = "unexpected_data"
+    MEMORY = "memory"  # no memory was left for a long answer that had to wait
     NOT_REUSABLE = "not_reusable"  # the response ended before the request, or the server asked for the close
     IDLE = "idle"
     MAKE_ROOM = "make_room"
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -72,6 +72,9 @@
     def stream_completed(self) -> None:
         """Records that the complete value was received."""
 
+    def stream_rejected(self) -> None:
+        """Fails the answer, since it has to wait and no memory is left for it."""
+
 
 class Stream:
     """Forwards one value as a RESP bulk string, with backpressure from the client to the source.
@@ -89,8 +92,8 @@
     """
 
     __slots__ = (
-        "chunks", "collecting", "complete", "due", "hold_until", "observer", "on_data", "progress",
-        "received", "size", "source", "started", "trusted",
+        "buffered", "chunks", "collecting", "complete", "due", "hold_until", "observer", "on_data",
+        "progress", "received", "size", "source", "started", "trusted",
     )  # fmt: skip
 
     def __init__(self, size: int, source: Source, due: float, observer: StreamObserver) -> None:
@@ -103,6 +106,7 @@
         self.hold_until = min(due, now + MAX_HOLD_TIME)
         self.progress = ProgressMeter(now)
         self.chunks = deque([b"$%d\r\n" % size])
+        self.buffered = len(self.chunks[0])  # bytes of all chunks
         self.received = 0  # bytes of the value
         self.started = False  # whether data was taken
         self.complete = False  # whether the complete value was received
@@ -144,6 +148,7 @@
     def feed(self, chunk: bytes) -> None:
         """Adds a chunk from the source; pauses the source unless the client takes the chunk at once."""
         self.received += len(chunk)
+        self.buffered += len(chunk)
         self.progress.received(len(chunk), asyncio.get_running_loop().time())
         if self.chunks and len(self.chunks[-1]) + len(chunk) <= MERGED_SIZE:
             self.chunks[-1] += chunk
@@ -161,6 +166,7 @@
         if self.complete:
             return
         self.chunks.append(b"\r\n")
+        self.buffered += len(self.chunks[-1])
         self.complete = True
         self.progress.resume(asyncio.get_running_loop().time())
         self.observer.stream_completed()
@@ -178,6 +184,11 @@
         if self.chunks and not self.complete:
             self._pause_source()
 
+    def pause(self) -> None:
+        """Stops reading a value that is passed on, until more of it is taken."""
+        if self.interruptible:
+            self._pause_source()
+
     def take(self) -> bytes:
         """Removes and returns buffered data, about CHUNK_SIZE bytes at most.
 
@@ -190,6 +201,7 @@
         while self.chunks and size < CHUNK_SIZE:
             parts.append(self.chunks.popleft())
             size += len(parts[-1])
+        self.buffered -= size
         if not self.complete and not self.chunks:
             self._resume_source()
         return b"".join(parts)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -14,6 +14,9 @@
 
 KB_PER_MB = 1024
 SLOW_VALUE = 40_000  # bytes of a value that is written slowly
+LONG_ANSWER = hit(bytes(1 << 20))
+READS = 30  # long answers that each slow reader asks for
+UNREAD_TIME = 3.0  # seconds for which they read nothing
 SLOW_PIECE, SLOW_PAUSE = 1000, 0.08  # bytes and seconds
 
 
@@ -51,16 +54,26 @@
     await answers_of(caller, 1)
 
 
+async def read_slowly(caller: Caller, number: int) -> None:
+    """Asks for many long answers and takes none of them for a while."""
+    caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    for key in range(READS):
+        name = b"long%d-%d" % (number, key)
+        caller.get(name, name, b"c=read,t=acme,d=2400")
+    await asyncio.sleep(UNREAD_TIME)
+
+
 # Guards against a process that is killed for memory which the parser, or the connections themselves, keep.
 @pytest.mark.parametrize(
     ("memory_mb", "clients", "act"),
-    [(48, 400, send_lists_of_many_fields), (32, 600, write_slowly)],
-    ids=["long lists", "slow values"],
+    [(48, 400, send_lists_of_many_fields), (32, 600, write_slowly), (48, 300, read_slowly)],
+    ids=["long lists", "slow values", "slow readers"],
 )
 async def test_process_stays_within_its_memory(
     tmp_path: Path, memory_mb: int, clients: int, act: Callable[[Caller, int], Awaitable[None]]
 ) -> None:
-    cache, origin = Cache(lambda request, writer: hit()), Web(lambda request, writer: http(200, b"ok"))
+    cache = Cache(lambda request, writer: LONG_ANSWER if request[1].startswith(b"long") else hit())
+    origin = Web(lambda request, writer: http(200, b"ok"))
     await cache.start()
     await origin.start()
     known = listing(3, entry("c0", cache.address), entry("o", origin.address, model="origin"))
@@ -70,10 +83,14 @@
         async with asyncio.timeout(WAIT_TIMEOUT):
             await asyncio.gather(*(act(caller, number) for number, caller in enumerate(callers)))
         assert peak_memory_mb(running.pid) <= memory_mb
-        good = await connect_client(addresses["INFO listening on"])
-        good.get()
-        assert await good.answer() == b"v"
-        for caller in (*callers, good):
+        for caller in callers:
             caller.writer.transport.abort()
+        good = await connect_client(addresses["INFO listening on"])
+        answers: list[object] = []
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while b"v" not in answers:  # until the memory of those that have left is free again
+                good.get(name=b"good%d" % len(answers))
+                answers.append(await good.answer())
+        good.writer.transport.abort()
     for peer in (cache, origin):
         await peer.stop()
