Execute the id of a request that is not safe only once

Cause: an id was known only while its request was in flight, and at its own process alone; a write that its server has received goes on when its client leaves.

Ids of which no attempt can have run are forgotten at once.

--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -20,9 +20,12 @@
 from applehub.node.pool import Pools
 from applehub.node.reasons import Rejection, ServerClose, Timeout
 from applehub.node.stream import Source, Stream
+from applehub.node.used_ids import UsedIds
 from applehub.policy import Balancer
 
 NS_PER_S = 1_000_000_000
+# Results of attempts that may have executed their request.
+MAY_HAVE_RUN = frozenset((api.Status.OK, api.Status.ERROR, api.Status.TIMEOUT, api.Status.RESET))
 ANSWER_MARGIN = 8 * NS_PER_MS  # time before a deadline that is reserved for sending the answer
 STREAM_CHECK_INTERVAL = 0.25  # maximum seconds between two checks of the progress of a long answer
 log = logging.getLogger("applehub")
@@ -83,7 +86,9 @@
     call: Call
     reply: Reply
     deadline: int  # monotonic ns
+    executes_once: bool  # whether its id must not be executed again
     open: bool = True
+    may_have_run: bool = False
     stream: Stream | None = None  # a long answer that is being streamed
     attempts_made: int = 0
     local_failures: int = 0  # attempts that could not start because of a failure on this machine
@@ -122,6 +127,7 @@
         self.loop = asyncio.get_running_loop()
         self.requests: dict[str, PendingRequest] = {}
         self.memory = MemoryBudget()
+        self.used_ids = UsedIds()
         self.start_watch: Callable[[], None] = lambda: None
         self.publish: Callable[[api.PublishGossip], None] = lambda _: None
         # Monotonic time (ns) by which all requests must be answered; 0 until the router stops.
@@ -137,13 +143,16 @@
         deadline counts.
         """
         request_id = call.id.decode()
-        if request_id in self.requests:
+        request_class = self.balancer.settings.classes[call.class_index]
+        executes_once = request_class.effect is not api.Effect.SAFE
+        if request_id in self.requests or (
+            executes_once and self.used_ids.contains(call.id, time.monotonic_ns())
+        ):
             log.debug("request %s rejected: %s", request_id, Rejection.ID_IN_USE)
             self.metrics.count_reason(Rejection.ID_IN_USE)
             self.metrics.count_response(call.class_name, ResponseResult.ERRORS)
             reply.set_answer(resp.error("this id is in use"))
             return None
-        request_class = self.balancer.settings.classes[call.class_index]
         answer_by = received_at + (
             request_class.deadline if call.wait_ms is None else call.wait_ms * NS_PER_MS
         )
@@ -163,7 +172,7 @@
             reply.set_answer(self.rejection())
             return None
         request = self.requests[request_id] = PendingRequest(
-            request_id, call, reply, answer_by - ANSWER_MARGIN
+            request_id, call, reply, answer_by - ANSWER_MARGIN, executes_once
         )
         log.debug(
             "request %s accepted: info %s, %d ms left",
@@ -333,6 +342,8 @@
         if request.previous_result is not None:
             log.debug("request %s retried: %s", request.id, request.previous_result)
             self.metrics.count_reason(request.previous_result)
+        if request.executes_once and not started:
+            self.used_ids.add(request.call.id, now)  # before the attempt, for the router's other process
         request.attempt = attempt
         attempt.timer = self.loop.call_later(time_limit / NS_PER_S, self._timeout, attempt)
         if action.deliver_by:
@@ -473,6 +484,7 @@
         carrier = self._carrier(attempt)
         connected = carrier is not None and carrier.connected
         request.previous_result = result.status
+        request.may_have_run |= result.status in MAY_HAVE_RUN or request.stream is not None
         request.attempt = attempt.exchange = None  # breaks the reference cycle between attempt and exchange
         request.local_failures += result.status in api.NOT_STARTED
         attempt.cancel_timers()
@@ -536,5 +548,8 @@
 
     def _remove_if_done(self, request: PendingRequest) -> None:
         """Removes a request that is answered and has no attempt in flight."""
-        if not request.open and request.attempt is None and self.requests.pop(request.id, None) is not None:
-            self.memory.release(request.call.size)
+        if request.open or request.attempt is not None or self.requests.pop(request.id, None) is None:
+            return
+        self.memory.release(request.call.size)
+        if request.executes_once and request.attempts_made and not request.may_have_run:
+            self.used_ids.remove(request.call.id)
--- a/applehub/node/router.py
+++ b/applehub/node/router.py
@@ -67,6 +67,7 @@
         self.shared_state = self._open_shared_state()
         self.overrides: OperatorOverrides | None = None
         if self.shared_state is not None:
+            self.driver.used_ids.share(self.shared_state.folder)
             self.overrides = OperatorOverrides(self.directory, self.driver.notify, self.shared_state)
         self.peering = self._create_peering()
         self.persisted_list: PersistedList | None = None
@@ -280,6 +281,7 @@
             self.persisted_list.close()
         if self.persisted_statistics is not None:
             self.persisted_statistics.close()
+        self.driver.used_ids.close()
         self.console.close()
 
 
--- a/applehub/node/shared_state.py
+++ b/applehub/node/shared_state.py
@@ -26,6 +26,7 @@
 
     def __init__(self, folder: str) -> None:
         """Marks this process as running. Raises OSError if the folder is not writable."""
+        self.folder = folder
         self.override_file = OverrideFile(folder)
         self.lock_file = open(os.path.join(folder, "applehub.runs"), "wb")  # noqa: SIM115 (open until `close`)
         # Each process locks the byte at the offset of its own process id. The kernel releases the lock when
