Pass an incomplete answer on before others only when more of it comes

Seen in the review of the fix: with a time of 0.2 s a server that gave a part at once and then fell silent had given bytes within the last 0.4 s, so the answer was passed on, cut off, and the answers behind it were lost.

Change: from 0.15 s before its time a held answer is passed on as soon as more of it comes; if nothing comes for 0.4 s it times out.

--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -17,6 +17,10 @@
 STALL_TIMEOUT = 2.5
 # The same within a value that is held back: its error is due half a second after the answer was.
 HELD_STALL_TIMEOUT = 0.4
+# Seconds before the end of that time from which on it is passed on as soon as more of it comes, and seconds
+# for which what has come shows that its server still gives it.
+START_AHEAD = 0.15
+RECENT = 0.05
 _shared_buffer = bytearray(CHUNK_SIZE)
 
 
@@ -142,8 +146,12 @@
         return max(self.hold_until, self.progress.stalled_at(HELD_STALL_TIMEOUT))
 
     def may_start(self, now: float) -> bool:
-        """Returns whether a held value may be passed on although it is incomplete and answers wait behind."""
-        return self.trusted and self.hold_until <= now < self.expires_at
+        """Returns whether a held value may be passed on although it is incomplete and answers wait behind.
+
+        If its server failed afterwards, those answers would be lost, so it must be giving the value.
+        """
+        is_time = now >= self.hold_until - START_AHEAD
+        return self.trusted and is_time and self.progress.stalled_at(RECENT) > now
 
     def feed(self, chunk: bytes) -> None:
         """Adds a chunk from the source; pauses the source unless the client takes the chunk at once."""
