Start the process of the memory tests without coverage, as it runs in service

Seen: in a whole run of the suite with coverage one of the new tests failed (34.5 of 32 MB); the coverage of the process took the rest. The bound is that of the process in service.

--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -13,6 +13,7 @@
 from applehub.node.resp import MAX_BUFFERED_VALUE, command
 
 KB_PER_MB = 1024
+COVERAGE_VARIABLES = ("COVERAGE_PROCESS_CONFIG", "COVERAGE_PROCESS_START")
 SLOW_VALUE = 40_000  # bytes of a value that is written slowly
 LONG_ANSWER = hit(bytes(1 << 20))
 READS = 30  # long answers that each slow reader asks for
@@ -70,8 +71,14 @@
     ids=["long lists", "slow values", "slow readers"],
 )
 async def test_process_stays_within_its_memory(
-    tmp_path: Path, memory_mb: int, clients: int, act: Callable[[Caller, int], Awaitable[None]]
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    memory_mb: int,
+    clients: int,
+    act: Callable[[Caller, int], Awaitable[None]],
 ) -> None:
+    for name in COVERAGE_VARIABLES:  # measuring the coverage of the process takes memory of its own
+        monkeypatch.delenv(name, raising=False)
     cache = Cache(lambda request, writer: LONG_ANSWER if request[1].startswith(b"long") else hit())
     origin = Web(lambda request, writer: http(200, b"ok"))
     await cache.start()
