Fail collected answers before the process exits, and test slow-reading origins

Seen in the review of the fix: at the end of a shutdown, a long answer that was still collected kept the answers behind it until after the exit (they had come 1.5 s after, in the test). Such a request is answered with an error then, as one without any response is; a started answer goes on as before.

Tests: test_answers_behind_collected_answer_are_given_before_exit fails before.

--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -253,7 +253,10 @@
 
     def _fail_all(self) -> None:
         for request in list(self.requests.values()):
-            self._fail_overdue(request)
+            if request.stream is not None and not request.stream.started and not request.stream.complete:
+                self._fail_long_answer(request, ServerClose.SHUTDOWN)
+            else:
+                self._fail_overdue(request)
 
     def _fail_overdue(self, request: PendingRequest) -> None:
         """Fails an open request.
@@ -453,17 +456,18 @@
 
     def reject_long_answer(self, request: PendingRequest) -> None:
         """Fails a request whose long answer has to wait and finds no memory."""
+        log.debug("request %s: no memory for a long answer", request.id)
+        self._fail_long_answer(request, ServerClose.MEMORY)
+
+    def _fail_long_answer(self, request: PendingRequest, reason: ServerClose) -> None:
+        """Fails a request of whose long answer nothing was passed on, and aborts its attempt."""
         attempt, carrier = request.attempt, self._carrier(request.attempt)
         if attempt is None or carrier is None:
             return
-        log.debug("request %s: no memory for a long answer", request.id)
-        carrier.abort_attempt(ServerClose.MEMORY)
+        carrier.abort_attempt(reason)
         request.stream = None
         request.reply.withdraw_stream()
-        if request.open:
-            self._answer(request, resp.FAILED, ResponseResult.ERRORS)
-        else:
-            request.reply.set_answer(resp.FAILED)
+        self._answer(request, resp.FAILED, ResponseResult.ERRORS)
         self._attempt_ended(attempt, AttemptResult(api.Status.CANCELLED))
 
     def _end_stream(self, request: PendingRequest, stream: Stream, status: api.Status) -> None:
--- a/applehub/node/reasons.py
+++ b/applehub/node/reasons.py
@@ -36,6 +36,7 @@
     NOT_REUSABLE = "not_reusable"  # the response ended before the request, or the server asked for the close
     IDLE = "idle"
     MAKE_ROOM = "make_room"
+    SHUTDOWN = "shutdown"
     RETIRED = "retired"  # the server is not in use any more
     RESTARTED = "restarted"
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -268,3 +268,17 @@
             assert [await caller.answer() for _ in range(3)] == [LONG, b"receipt", b"short"]
 
     run_in_virtual_time(monkeypatch, test)
+
+
+# Guards against answers that are lost at the exit, because a long answer before them is still collected.
+def test_answers_behind_collected_answer_are_given_before_exit(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with long_answers(10_000) as long:
+            caller = await long.caller(LONG_READ + BEHIND)
+            long.bench.driver.stop(0.5)
+            assert str(await caller.answer()) == "ERR failed"
+            assert [await caller.answer(), await caller.answer()] == [b"receipt", b"short"]
+            assert asyncio.get_running_loop().time() - long.started <= 0.1 + 0.5
+            await long.check_released()
+
+    run_in_virtual_time(monkeypatch, test)
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from router_bench import MISS, Bench, Caller, hit, http, router, wait_until
+from router_bench import MISS, Bench, Caller, entry, hit, http, router, wait_until
 from virtual_time import run_in_virtual_time
 
 from applehub.node.resp import command
@@ -346,3 +346,79 @@
             assert bench.driver.memory.used == 0
 
     run_in_virtual_time(monkeypatch, test)
+
+
+class Reading(StrEnum):
+    """How the origin reads the value of a write."""
+
+    NEVER = "never"
+    SLOWLY = "slowly"
+
+
+SLOW_READ, SLOW_READ_PAUSE = 16_384, 0.05  # bytes and seconds
+RECEIVE_BUFFER = 65_536  # bytes of SO_RCVBUF
+
+
+class SlowOrigin:
+    """An origin that reads values slowly or never. complete: number of writes that it has read completely."""
+
+    def __init__(self, reading: Reading) -> None:
+        self.reading, self.complete = reading, 0
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server = await asyncio.start_server(self._serve, sock=sock, limit=SLOW_READ)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            left = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            if self.reading is Reading.NEVER:
+                await asyncio.Event().wait()
+            while left:
+                await asyncio.sleep(SLOW_READ_PAUSE)
+                data = await reader.read(SLOW_READ)
+                if not data:
+                    return
+                left -= len(data)
+            self.complete += 1
+            writer.write(http(200, b"receipt"))
+            await reader.read()
+        writer.close()
+
+    async def stop(self) -> None:
+        assert self.server is not None
+        self.server.close()
+
+
+# Guards against an answer that comes seconds late, because a server reads a large request slowly.
+@pytest.mark.parametrize("reading", Reading)
+@pytest.mark.parametrize("size", [100_000, 2 << 20, 8 << 20])
+@pytest.mark.parametrize("info", [b"c=put,k=1", b"c=once"], ids=["keyed", "unsafe"])
+def test_write_is_final_in_time_when_origin_reads_slowly(
+    monkeypatch: pytest.MonkeyPatch, info: bytes, size: int, reading: Reading
+) -> None:
+    async def test() -> None:
+        origin = SlowOrigin(reading)
+        await origin.start()
+        async with router(
+            entries=lambda cache, _: [entry("c0", cache.address), entry("o", origin.address, model="origin")]
+        ) as bench:
+            caller, loop = await bench.caller(), asyncio.get_running_loop()
+            caller.send(b"C.SET", b"k", b"w1", b"%b,d=%d" % (info, WAIT * 1000), bytes(size))
+            await wait_until(lambda: bench.driver.requests)
+            started = loop.time()
+            answer = await caller.answer()
+            assert loop.time() - started <= WAIT
+            assert str(answer) in ("b'receipt'", "BUSY", "ERR failed")
+            await asyncio.sleep(STOPPED_PEER_LIMIT)
+            assert origin.complete == (answer == b"receipt")
+            await check_rest(bench)
+        await origin.stop()
+
+    run_in_virtual_time(monkeypatch, test)
