--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -21,6 +21,8 @@
 # for which what has come shows that its server still gives it.
 START_AHEAD = 0.15
 RECENT = 0.05
+# Seconds after the first bytes in which more of them may belong to the same burst.
+BURST_TIME = 0.1
 _shared_buffer = bytearray(CHUNK_SIZE)
 
 
@@ -96,8 +98,8 @@
     """
 
     __slots__ = (
-        "buffered", "chunks", "collecting", "complete", "due", "hold_until", "observer", "on_data",
-        "progress", "received", "size", "source", "started", "trusted",
+        "begun_at", "buffered", "chunks", "collecting", "complete", "due", "hold_until", "observer",
+        "on_data", "progress", "received", "size", "source", "started", "trusted",
     )  # fmt: skip
 
     def __init__(self, size: int, source: Source, due: float, observer: StreamObserver) -> None:
@@ -107,7 +109,7 @@
         """
         self.size, self.source, self.due, self.observer = size, source, due, observer
         now = asyncio.get_running_loop().time()
-        self.hold_until = min(due, now + MAX_HOLD_TIME)
+        self.begun_at, self.hold_until = now, min(due, now + MAX_HOLD_TIME)
         self.progress = ProgressMeter(now)
         self.chunks = deque([b"$%d\r\n" % size])
         self.buffered = len(self.chunks[0])  # bytes of all chunks
@@ -150,7 +152,7 @@
 
         If its server failed afterwards, those answers would be lost, so it must be giving the value.
         """
-        is_time = now >= self.hold_until - START_AHEAD
+        is_time = now >= max(self.hold_until - START_AHEAD, self.begun_at + BURST_TIME)
         return self.trusted and is_time and self.progress.stalled_at(RECENT) > now
 
     def feed(self, chunk: bytes) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -282,3 +282,28 @@
             await long.check_released()
 
     run_in_virtual_time(monkeypatch, test)
+
+
+# Guards against answers that are lost behind a long answer whose only bytes come shortly before its time.
+@pytest.mark.parametrize("delay", [0.0, 0.05, 0.1, 0.15, 0.19])
+def test_answers_behind_burst_shortly_before_its_time_are_given(
+    monkeypatch: pytest.MonkeyPatch, delay: float
+) -> None:
+    async def test() -> None:
+        def cache(request: Any, writer: asyncio.StreamWriter) -> bytes | None:
+            if request[1] != b"long":
+                return hit(b"short")
+            loop = asyncio.get_running_loop()
+            for piece, part in enumerate((hit(LONG)[:10_000], hit(LONG)[10_000:20_000])):
+                loop.call_later(delay + 0.02 * piece, writer.write, part)
+            return None
+
+        async with router(cache, lambda request, writer: http(200, b"receipt")) as bench:
+            caller = await bench.caller()
+            caller.writer.write(command(b"C.GET", b"long", b"long", b"c=read,t=acme,d=200") + BEHIND)
+            started = asyncio.get_running_loop().time()
+            assert str(await caller.answer()) in ("BUSY", "ERR failed")
+            assert [await caller.answer(), await caller.answer()] == [b"receipt", b"short"]
+            assert asyncio.get_running_loop().time() - started <= 0.2 + 0.5
+
+    run_in_virtual_time(monkeypatch, test)
