Let the clients of the memory test send a command before they wait

Cause: neither the speed of sending nor the router: a client that sends nothing within 2.5 s of its connection is closed, and the test's clients connected one after another and then waited for their turn.

Change: each client sends PING as it connects. Bounds and expected answers are unchanged.

--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -33,6 +33,14 @@
     return int(line.split()[1]) / KB_PER_MB
 
 
+async def connect(address: tuple[str, int]) -> Caller:
+    """Returns a client that has sent a command, since one that sends none is closed after some time."""
+    caller = await connect_client(address)
+    caller.send(b"PING")
+    assert await caller.answer() == b"PONG"
+    return caller
+
+
 async def answers_of(caller: Caller, count: int) -> list[str]:
     """Returns answers as text, fewer if the connection ends."""
     answers: list[str] = []
@@ -125,7 +133,7 @@
     known = listing(3, entry("c0", cache.address), entry("o", origin.address, model="origin"))
     limits = {"memory_mb": memory_mb, "sockets": SOCKETS}
     async with running_program(tmp_path, SOCKETS, known=known, limits=limits) as (running, addresses, _):
-        callers = [await connect_client(addresses["INFO listening on"]) for _ in range(clients)]
+        callers = [await connect(addresses["INFO listening on"]) for _ in range(clients)]
         async with asyncio.timeout(WAIT_TIMEOUT):
             await asyncio.gather(*(act(caller, number) for number, caller in enumerate(callers)))
         assert peak_memory_mb(running.pid) <= memory_mb
