Collect the sockets that earlier tests have left before descriptors are counted

Cause, by reading: fewer, so none was left open; a socket in the garbage of an earlier test of the same worker was closed meanwhile. Not reproduced on purpose.

Change: the garbage is collected before the first count. The counts must be equal as before.

--- a/tests/test_slow_registry.py
+++ b/tests/test_slow_registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import resource
 from collections.abc import Callable, Coroutine
 from functools import partial
@@ -361,6 +362,7 @@
     results: list[RunResult] = []
 
     async def run() -> None:
+        gc.collect()  # closes the sockets that earlier tests have left, which must not happen meanwhile
         before = psutil.Process().num_fds()
         if timeout_s is None:
             results.append(await run_scenario(plan))
