Remember an id whose long answer is dropped, since its request has run

Seen in a last reading of the change: an unsafe request whose long answer was given up at the shutdown, for memory, or because its client had left, ended as cancelled; its id was forgotten as one that had not run, and ran again when it came again.

Change: the first byte of a long answer shows that the request has run, whatever becomes of the attempt.

Test: both cases of test_id_of_request_whose_long_answer_is_dropped_is_not_executed_again fail before.

--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -344,7 +344,10 @@
         part of the answer was passed on.
         """
         request = attempt.request
-        if request.attempt is not attempt or not request.open:
+        if request.attempt is not attempt:
+            return None
+        request.may_have_run = True  # however the attempt ends
+        if not request.open:
             return None
         log.debug(
             "request %s attempt %d at %s: streaming %d bytes",
@@ -421,7 +424,7 @@
         carrier = self._carrier(attempt)
         connected = carrier is not None and carrier.connected
         request.previous_result = result.status
-        request.may_have_run |= result.status in MAY_HAVE_RUN or request.stream is not None
+        request.may_have_run |= result.status in MAY_HAVE_RUN
         request.attempt = attempt.exchange = None  # breaks the reference cycle between attempt and exchange
         request.local_failures += result.status in api.NOT_STARTED
         attempt.cancel_timers()
--- a/tests/test_used_ids.py
+++ b/tests/test_used_ids.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from router_bench import Bench, Caller, entry, http, router, wait_until
+from router_bench import Bench, Caller, entry, hit, http, router, wait_until
 from test_descriptors import connect_client, running_program
 from test_discovery import listing
 from virtual_time import run_in_virtual_time
@@ -178,6 +178,35 @@
     run_in_virtual_time(monkeypatch, test)
 
 
+# Guards against a request that runs twice, because its long answer was given up or no client waited for it.
+@pytest.mark.parametrize("end", ["shutdown", "client left"])
+def test_id_of_request_whose_long_answer_is_dropped_is_not_executed_again(
+    monkeypatch: pytest.MonkeyPatch, end: str
+) -> None:
+    async def test() -> None:
+        def begin_long_answer(request: Any, writer: asyncio.StreamWriter) -> None:
+            asyncio.get_running_loop().call_later(ANSWER_DELAY, writer.write, hit(bytes(100_000))[:10_000])
+
+        async with router(begin_long_answer) as bench:
+            caller = await bench.caller()
+            caller.get(info=ONCE)
+            caller.send(b"PING")  # an answer behind it, for which the long answer is collected
+            await wait_until(lambda: bench.cache.received)
+            if end == "client left":
+                caller.writer.close()
+                await wait_until(lambda: not bench.driver.requests)
+            else:
+                await wait_until(lambda: bench.driver.requests["i1"].stream)
+                bench.driver._fail_all()
+                assert str(await caller.answer()) == "ERR failed"
+            other = await bench.caller()
+            other.get(info=ONCE)
+            assert str(await other.answer()) == "ERR this id is in use"
+            assert len(bench.cache.received) == 1
+
+    run_in_virtual_time(monkeypatch, test)
+
+
 @asynccontextmanager
 async def two_processes(folder: Path) -> AsyncIterator[tuple[Bench, Bench]]:
     """Runs two routers that share a folder as the two processes of an upgrade do; they have one origin."""
