--- a/applehub/node/answer_slot.py
+++ b/applehub/node/answer_slot.py
@@ -116,8 +116,9 @@
         self.client.advance()
         self._count_stream()
         stream = self.stream
-        waits = stream is not None and not stream.started and not stream.collecting
-        if stream is not None and waits and not self.client.has_memory_left():
+        if stream is None or stream.started or stream.collecting:
+            return
+        if not self.client.has_memory_left():
             stream.observer.stream_rejected()
 
     def _count_stream(self) -> None:
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -123,9 +123,10 @@
         if self.phase is not Phase.OPEN or self.transport is None:
             return
         self.arrivals.record_read(len(data), self.transport.get_extra_info("socket"), self.read_size)
-        now = asyncio.get_running_loop().time()
-        if self.frames.in_value and self.value_progress.received(len(data), now):
-            self._cancel_command_timer()  # the timeout restarts with the progress of a value
+        if self.frames.in_value:
+            now = asyncio.get_running_loop().time()
+            if self.value_progress.received(len(data), now):
+                self._cancel_command_timer()  # the timeout restarts with the progress of a value
         self.frames.feed(data)
         self.advance()
 
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -8,7 +8,6 @@
 from applehub.node.http1 import HttpClient, HttpError, HttpResponse
 from applehub.node.memory_budget import LONG_VALUE_FRACTION, MemoryBudget
 from applehub.node.pool import Connection, Pool
-from applehub.node.reasons import ServerClose
 from applehub.node.resp import MAX_BUFFERED_VALUE, MAX_LONG_VALUE
 
 
@@ -55,8 +54,9 @@
         return len(response.body) if response is not None and not self.reserved else 0
 
     def discard_buffers(self) -> None:
-        """Drops what is buffered of a response."""
+        """Drops what is buffered of a response, and releases its memory."""
         self.http.discard_response()
+        self._release_memory()
 
     def _start_stream(self, size: int) -> Callable[[bytes], None] | None:
         stream = self.exchange.on_long_value(size, self) if self.exchange and size <= MAX_LONG_VALUE else None
@@ -82,23 +82,6 @@
             self.memory.release(self.reserved)
         self.memory, self.reserved = None, 0
 
-    def finish(
-        self,
-        result: AttemptResult,
-        reusable: bool = True,
-        close_reason: ServerClose = ServerClose.NOT_REUSABLE,
-    ) -> None:
-        self._release_memory()  # the client's connection counts the answer as soon as it is handed over
-        super().finish(result, reusable, close_reason)
-
-    def close(self, reason: ServerClose) -> None:
-        super().close(reason)
-        self._release_memory()
-
-    def handle_loss(self, error: Exception | None = None) -> None:
-        super().handle_loss(error)
-        self._release_memory()
-
     def read(self, data: bytes) -> None:
         try:
             response = self.http.receive(data)
@@ -106,6 +89,7 @@
             self.protocol_error()
             return
         if response is not None:
+            self._release_memory()  # the client's connection counts the answer as soon as it is handed over
             self.finish(result_of(response), self.http.next_cycle())
 
     def eof_received(self) -> None:
--- a/tests/router_bench.py
+++ b/tests/router_bench.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+import socket
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -168,6 +169,22 @@
                 self.parser.feed(data)
 
 
+async def start_server_with_small_buffer(
+    serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[Any, Any, None]],
+    receive_buffer: int,
+    limit: int,
+) -> tuple[asyncio.Server, str]:
+    """Starts a server whose kernel receives little ahead of it; returns it and its address.
+
+    receive_buffer: bytes of SO_RCVBUF. limit: bytes that a stream reader buffers.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    sock.bind(("127.0.0.1", 0))
+    server = await asyncio.start_server(serve, sock=sock, limit=limit)
+    return server, f"127.0.0.1:{sock.getsockname()[1]}"
+
+
 @dataclass
 class Bench:
     """A router under test with its scripted peers and its internal components."""
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -16,7 +16,17 @@
 from typing import Any
 
 import pytest
-from router_bench import MISS, Bench, Caller, entry, hit, http, router, wait_until
+from router_bench import (
+    MISS,
+    Bench,
+    Caller,
+    entry,
+    hit,
+    http,
+    router,
+    start_server_with_small_buffer,
+    wait_until,
+)
 from virtual_time import run_in_virtual_time
 
 from applehub.node.resp import command
@@ -368,11 +378,9 @@
         self.address = ""
 
     async def start(self) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
-        self.server = await asyncio.start_server(self._serve, sock=sock, limit=SLOW_READ)
+        self.server, self.address = await start_server_with_small_buffer(
+            self._serve, RECEIVE_BUFFER, SLOW_READ
+        )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
--- a/tests/test_undelivered_requests.py
+++ b/tests/test_undelivered_requests.py
@@ -5,17 +5,17 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
-from router_bench import Bench, entry, http, router, wait_until
+from router_bench import Bench, entry, http, router, start_server_with_small_buffer, wait_until
 from virtual_time import run_in_virtual_time
 
 LONG = 2 << 20  # bytes; fits into the send queue of a socket
 LONGER = 8 << 20  # bytes; does not
+READER_LIMIT = 64 * 1024  # bytes that the origin's stream reader buffers
 RECEIVE_BUFFER = 64 * 1024  # bytes of SO_RCVBUF at the origin
 WINDOW = 0.6  # seconds for which the origin remembers an idempotency key
 DETECTION_TIME = 0.1  # seconds after a client's close from which on no attempt may begin
@@ -40,11 +40,9 @@
         self.address = ""
 
     async def start(self) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind(("127.0.0.1", 0))
-        self.server = await asyncio.start_server(self._serve, sock=sock)
-        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server, self.address = await start_server_with_small_buffer(
+            self._serve, RECEIVE_BUFFER, READER_LIMIT
+        )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
