Tell a timeout within a response from that of a silent server, with its bytes

Change: timeouts.begun_response counts them, and the DEBUG line has both figures. Decisions are unchanged.

--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -74,6 +74,7 @@
     """The connection that carries an attempt."""
 
     unsent: bool  # whether the request is not completely written and so cannot have been executed
+    response_size: int  # bytes of the response received so far
 
     @property
     def sending(self) -> bool:
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -323,7 +323,14 @@
         carrier = self._carrier(attempt)
         if attempt.request.attempt is attempt and carrier is not None:
             state = self._timeout_state(attempt, carrier)
-            log.debug("request %s attempt %d timed out: %s", attempt.request.id, attempt.number, state)
+            log.debug(
+                "request %s attempt %d timed out: %s, %d bytes received, %.1f ms left",
+                attempt.request.id,
+                attempt.number,
+                state,
+                carrier.response_size,
+                (attempt.request.deadline - time.monotonic_ns()) / NS_PER_MS,
+            )
             self.metrics.count_reason(state)
             may_have_run = carrier.abort_attempt(ServerClose.TIMEOUT)
             self._attempt_ended(
@@ -335,6 +342,8 @@
         """Returns what an attempt waits for."""
         if attempt.request.stream is not None:
             return Timeout.LONG_ANSWER
+        if carrier.response_size:
+            return Timeout.BEGUN_RESPONSE
         return Timeout.SENDING if carrier.sending else Timeout.RESPONSE
 
     def _start_stream(self, attempt: Attempt, size: int, source: Source) -> Stream | None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -76,6 +76,7 @@
         self.unwritten: Iterator[bytes | memoryview] = iter(())
         self.write_started = False  # whether some of the request was passed to the kernel
         self.unsent = True  # whether the last byte of the request is not yet passed to the kernel
+        self.response_size = 0  # bytes received during the attempt
         # Event loop time in seconds at which it was established or, until then, at which connecting started.
         self.opened_at = 0.0
         self.idle_since = 0.0  # event loop time in seconds
@@ -122,6 +123,7 @@
     def send_request(self, exchange: Exchange) -> None:
         """Starts an attempt on an established connection."""
         self.exchange, self.write_started, self.unsent = exchange, False, True
+        self.response_size = 0
         self.attempts_started += 1
         self.budget = exchange.memory
         self.unwritten = self.encode(exchange)
@@ -313,6 +315,7 @@
             )
             self.close(ServerClose.UNEXPECTED_DATA)
             return
+        self.response_size += len(data)
         try:
             self.read(data)
         except Exception:
--- a/applehub/node/reasons.py
+++ b/applehub/node/reasons.py
@@ -55,7 +55,8 @@
     """What an attempt waited for when it timed out, or that a request was still open at its deadline."""
 
     SENDING = "sending"  # the connect, or the rest of the request
-    RESPONSE = "response"
+    RESPONSE = "response"  # any byte of a response
+    BEGUN_RESPONSE = "begun_response"  # the rest of a response, or the first byte of a long answer
     LONG_ANSWER = "long_answer"  # the rest of a long answer
     REQUEST = "request"
 
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -86,6 +86,23 @@
     assert "closed: timeout, request silent" in caplog.text
 
 
+# Guards against a timeout within a response that is counted and logged like that of a silent server.
+def test_timeout_within_response_is_counted_and_logged_with_received_bytes(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.DEBUG, logger="applehub")
+
+    async def test() -> None:
+        async with router(lambda request, writer: hit()[:9]) as bench:
+            caller = await bench.caller()
+            caller.get(name=b"begun", info=READ)
+            assert str(await caller.answer()) == "BUSY"
+            assert counted(bench)[f"timeouts.{Timeout.BEGUN_RESPONSE}"] == 1
+
+    run_in_virtual_time(monkeypatch, test)
+    assert "request begun attempt 0 timed out: begun_response, 9 bytes received" in caplog.text
+
+
 def test_retry_is_counted_by_result_of_previous_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         def break_first(request: Any, writer: asyncio.StreamWriter) -> bytes | None:
