Await a response that has begun for as long as its client waits

Cause: the policy's timeout, what is left of the objective where late answers are worth nothing, ended an attempt until the first byte of a long value, or the last byte of any other response, whatever had come by then. Its tests had objectives of 5 s, so that it never rang. Class: a clock that was proved on one side only. Each silent state was shown to end in time, none that no sound one ends too early. Change: AttemptClock owns the time of an attempt, with one table: the policy's timeout ends it while nothing has come, the due time once the response has begun, progress once a part was passed on. It replaces the attempt's timer, Stream.expires_at and Driver._check_stream. The policy is told of a response that has begun (ResponseStarted): its server is not silent, and a likely miss is judged by its result alone. A value that is held back is not given up at 1.5 s any more, before its time. Bytes that came while the process stood still are read before an attempt is ended. Changed test: test_first_bytes_are_forwarded looked at the cancelled timer, which is gone; it expects the phase FORWARDING of the same attempt.

--- a/applehub/interface.py
+++ b/applehub/interface.py
@@ -157,6 +157,18 @@
     repeat: bool = False  # the client has sent this request before
 
 
+@dataclass(slots=True)
+class ResponseStarted:
+    """The first part of a response has arrived, which is neither complete nor streamed yet.
+
+    The timeout of the attempt has ended with it: the attempt may last until the request's deadline.
+    """
+
+    id: str
+    attempt: int
+    server: str
+
+
 @dataclass(slots=True)
 class StreamOpened:
     """The first part of a streamed response has arrived."""
@@ -260,6 +272,7 @@
     | SettingsChanged
     | ProcessCount
     | Request
+    | ResponseStarted
     | StreamOpened
     | Outcome
     | RequestCancelled
@@ -277,7 +290,7 @@
 
     id: str
     server: str
-    timeout: int = 0  # 0: until the client gives up
+    timeout: int = 0  # time by which a response must have begun; 0: until the client gives up
     # Clock time by which the server must have received the complete attempt, since servers forget idempotency
     # keys; 0: no limit.
     deliver_by: int = 0
--- a/applehub/node/answer_slot.py
+++ b/applehub/node/answer_slot.py
@@ -100,7 +100,8 @@
     def begin_stream(self, stream: Stream) -> None:
         """Sets a long value as the answer; it is written as it arrives, after the earlier answers."""
         self.stream = stream
-        stream.trusted = not self.withdrawn
+        if self.withdrawn:
+            stream.distrust()
         stream.on_data = self._stream_received
         self._collect(stream)
         self._count_stream()
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -80,6 +80,10 @@
     def sending(self) -> bool:
         """Whether a part of the request has not left this machine, so that the server cannot have started."""
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether the kernel holds bytes of the response, or its end, that were not read yet."""
+
     @property
     def undelivered(self) -> bool:
         """Whether the server has not yet acknowledged the complete request."""
@@ -102,6 +106,8 @@
     # Called when a long value starts, with its size in bytes and its source; returns the stream, or None if
     # no client waits for the value.
     on_long_value: Callable[[int, Source], Stream | None] = lambda size, source: None
+    # Called with the first bytes of a response, unless they complete it.
+    on_response_started: Callable[[], None] = lambda: None
     memory: MemoryBudget | None = None  # accounts for the buffered part of a long response
     carrier: Carrier | None = None
     deliver_by: float = math.inf  # monotonic ns by which the server must have received the complete request
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -12,6 +12,7 @@
 
 from applehub import interface as api
 from applehub.node import resp
+from applehub.node.attempt_clock import AttemptClock, AttemptPhase
 from applehub.node.call import MIN_TIME_LEFT, NS_PER_MS, AttemptResult, Call, Carrier, Exchange
 from applehub.node.memory_budget import MemoryBudget
 from applehub.node.metrics import Metrics, ResponseResult
@@ -26,7 +27,6 @@
 # Results of attempts that may have executed their request.
 MAY_HAVE_RUN = frozenset((api.Status.OK, api.Status.ERROR, api.Status.TIMEOUT, api.Status.RESET))
 ANSWER_MARGIN = 8 * NS_PER_MS  # time before a deadline that is reserved for sending the answer
-STREAM_CHECK_INTERVAL = 0.25  # maximum seconds between two checks of the progress of a long answer
 log = logging.getLogger("applehub")
 
 
@@ -195,7 +195,7 @@
         """Fails an open request.
 
         This bounds the duration of every request, even if the balancer never answers it. A long answer that
-        waits for earlier answers of its connection, or still comes, is left to `Stream.expires_at`.
+        waits for earlier answers of its connection, or still comes, is left to its `AttemptClock`.
         """
         if request.open and request.stream is not None:
             self._close(request)
@@ -281,7 +281,12 @@
         if request.executes_once and not started:
             self.used_ids.add(request.call.id, now)  # before the attempt, for the router's other process
         request.attempt = attempt
-        attempt.timer = self.loop.call_later(time_limit / NS_PER_S, self._timeout, attempt)
+        attempt.clock = AttemptClock(
+            (now + time_limit) / NS_PER_S,
+            request.deadline / NS_PER_S,
+            lambda: self._time_is_up(attempt),
+            lambda: (carrier := self._carrier(attempt)) is not None and carrier.has_unread_response,
+        )
         if action.deliver_by:
             attempt.delivery_timer = self.loop.call_at(
                 action.deliver_by / NS_PER_S, self._check_delivery, attempt
@@ -291,6 +296,7 @@
             now + time_limit,
             lambda result: self._attempt_ended(attempt, result),
             lambda size, source: self._start_stream(attempt, size, source),
+            lambda: self._response_started(attempt),
             self.memory,
             deliver_by=action.deliver_by or math.inf,
             still_wanted=lambda: self._still_wanted(attempt),
@@ -315,14 +321,34 @@
             log.debug("request %s attempt %d: not delivered in time", attempt.request.id, attempt.number)
             self._timeout(attempt)
 
+    def _time_is_up(self, attempt: Attempt) -> None:
+        """Ends an attempt whose clock has expired; logs a server that has begun to answer."""
+        request, carrier = attempt.request, self._carrier(attempt)
+        if request.stream is not None:
+            log.info(
+                "server %s stopped within an answer: request %s, %d of %d bytes received",
+                attempt.server,
+                request.id,
+                request.stream.received,
+                request.stream.size,
+            )
+        elif carrier is not None and carrier.response_size:
+            log.info(
+                "server %s gave no complete answer in time: request %s, %d bytes received",
+                attempt.server,
+                request.id,
+                carrier.response_size,
+            )
+        self._timeout(attempt)
+
     def _timeout(self, attempt: Attempt) -> None:
         """Aborts an attempt that timed out.
 
         Its connection is closed before the balancer is notified, so that no retry runs beside it.
         """
-        carrier = self._carrier(attempt)
-        if attempt.request.attempt is attempt and carrier is not None:
-            state = self._timeout_state(attempt, carrier)
+        carrier, clock = self._carrier(attempt), attempt.clock
+        if attempt.request.attempt is attempt and carrier is not None and clock is not None:
+            state = self._timeout_state(clock.phase, carrier)
             log.debug(
                 "request %s attempt %d timed out: %s, %d bytes received, %.1f ms left",
                 attempt.request.id,
@@ -338,13 +364,23 @@
             )
 
     @staticmethod
-    def _timeout_state(attempt: Attempt, carrier: Carrier) -> Timeout:
+    def _timeout_state(phase: AttemptPhase, carrier: Carrier) -> Timeout:
         """Returns what an attempt waits for."""
-        if attempt.request.stream is not None:
-            return Timeout.LONG_ANSWER
-        if carrier.response_size:
-            return Timeout.BEGUN_RESPONSE
-        return Timeout.SENDING if carrier.sending else Timeout.RESPONSE
+        match phase:
+            case AttemptPhase.WAITING:
+                return Timeout.SENDING if carrier.sending else Timeout.RESPONSE
+            case AttemptPhase.RESPONDING:
+                return Timeout.BEGUN_RESPONSE
+            case _:
+                return Timeout.LONG_ANSWER
+
+    def _response_started(self, attempt: Attempt) -> None:
+        """Records that the server has begun to answer: from now on its client's time ends the attempt."""
+        clock = attempt.clock
+        if attempt.request.attempt is not attempt or clock is None or clock.phase is not AttemptPhase.WAITING:
+            return
+        clock.response_started()
+        self._process(api.ResponseStarted(attempt.request.id, attempt.number, attempt.server))
 
     def _start_stream(self, attempt: Attempt, size: int, source: Source) -> Stream | None:
         """Starts to stream a long answer; returns None if the attempt is no longer current.
@@ -352,8 +388,8 @@
         The time of the attempt is that of the stream from now on. The request can still be retried until a
         part of the answer was passed on.
         """
-        request = attempt.request
-        if request.attempt is not attempt:
+        request, clock = attempt.request, attempt.clock
+        if request.attempt is not attempt or clock is None:
             return None
         request.may_have_run = True  # however the attempt ends
         if not request.open:
@@ -365,31 +401,16 @@
             attempt.server,
             size,
         )
-        attempt.cancel_timers()
+        if attempt.delivery_timer is not None:
+            attempt.delivery_timer.cancel()
         attempt.long_answer_at = time.monotonic_ns()
         observer = LongAnswerObserver(self, request)
         stream = request.stream = Stream(size, source, request.deadline / NS_PER_S, observer)
-        attempt.stream_timer = self.loop.call_at(stream.hold_until, self._check_stream, attempt, stream)
+        clock.long_answer_started(stream)
         request.reply.begin_stream(stream)
         self._process(api.StreamOpened(request.id, attempt.number, attempt.server))
         return stream
 
-    def _check_stream(self, attempt: Attempt, stream: Stream) -> None:
-        """Aborts an attempt whose server has given up within a long answer, or checks it again later."""
-        expires_at = stream.expires_at
-        if expires_at <= self.loop.time():
-            log.info(
-                "server %s stopped within an answer: request %s, %d of %d bytes received",
-                attempt.server,
-                attempt.request.id,
-                stream.received,
-                stream.size,
-            )
-            self._timeout(attempt)
-            return
-        check_at = min(expires_at, self.loop.time() + STREAM_CHECK_INTERVAL)
-        attempt.stream_timer = self.loop.call_at(check_at, self._check_stream, attempt, stream)
-
     def answer_started(self, request: PendingRequest) -> None:
         """Records that a part of a long answer was passed on."""
         self._close(request)
--- a/applehub/node/pending_request.py
+++ b/applehub/node/pending_request.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from applehub import interface as api
+from applehub.node.attempt_clock import AttemptClock
 from applehub.node.call import Call, Exchange
 from applehub.node.stream import Stream
 
@@ -41,15 +42,16 @@
     sent_at: int  # monotonic ns
     long_answer_at: int = 0  # monotonic ns at which a long answer started
     exchange: Exchange | None = None
-    timer: asyncio.TimerHandle | None = None
+    clock: AttemptClock | None = None
     delivery_timer: asyncio.TimerHandle | None = None
-    stream_timer: asyncio.TimerHandle | None = None
 
     def cancel_timers(self) -> None:
-        """Cancels the timeout, the check of the delivery and that of a long answer."""
-        for timer in (self.timer, self.delivery_timer, self.stream_timer):
-            if timer is not None:
-                timer.cancel()
+        """Stops and drops the clock, which refers to this attempt, and cancels the check of the delivery."""
+        if self.clock is not None:
+            self.clock.stop()
+            self.clock = None
+        if self.delivery_timer is not None:
+            self.delivery_timer.cancel()
 
 
 @dataclass(slots=True, eq=False)
@@ -57,7 +59,7 @@
     """A request and its state.
 
     It is open until its answer has been given, or a part of a long answer was passed on. A request that is
-    open ends by its deadline, a long answer by `Stream.expires_at`.
+    open ends by its deadline, a long answer by the `AttemptClock`.
     """
 
     id: str
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -220,6 +220,12 @@
             return True
         return unacknowledged_bytes(self.transport.get_extra_info("socket")) > 0
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether the kernel holds bytes of the response, or its end, that were not read yet."""
+        is_open = self.transport is not None and not self.transport.is_closing()
+        return is_open and self.unread.pending()
+
     @property
     def connected(self) -> bool:
         """Whether the connection was established for its current or latest attempt."""
@@ -233,7 +239,7 @@
         or would be matched with that response.
         """
         is_open = self.transport is not None and not self.transport.is_closing()
-        return is_open and not self.unread.pending()
+        return is_open and not self.has_unread_response
 
     def pause(self) -> None:
         if self.transport is not None:
@@ -315,6 +321,7 @@
             )
             self.close(ServerClose.UNEXPECTED_DATA)
             return
+        exchange, is_first = self.exchange, not self.response_size
         self.response_size += len(data)
         try:
             self.read(data)
@@ -322,6 +329,8 @@
             log.exception("failed to process a response")
             self.protocol_error()
         self._count_buffer(self.buffered_size if self.exchange is not None else 0)
+        if is_first and self.exchange is exchange:
+            exchange.on_response_started()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.handle_loss(exc)
--- a/applehub/node/stream.py
+++ b/applehub/node/stream.py
@@ -6,17 +6,12 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from applehub.node.progress import MIN_PROGRESS, ProgressMeter
+from applehub.node.progress import ProgressMeter
 
 CHUNK_SIZE = 64 * 1024  # maximum number of bytes read from a socket or written to one at once
 MERGED_SIZE = 4096  # bytes up to which waiting chunks are joined, since each takes memory of its own
 # Maximum seconds for which a value is held back for the answers behind it. After 2 s it counts as lost.
 MAX_HOLD_TIME = 1.5
-# Seconds without progress after which a server is given up within a value that is passed on. A peer that
-# stops in the middle of a message and stays is owed a close within 3 s.
-STALL_TIMEOUT = 2.5
-# The same within a value that is held back: its error is due half a second after the answer was.
-HELD_STALL_TIMEOUT = 0.4
 # Seconds before the end of that time from which on it is passed on as soon as more of it comes, and seconds
 # for which what has come shows that its server still gives it.
 START_AHEAD = 0.15
@@ -94,7 +89,7 @@
     - started: a part was passed on.
     - complete: the value was received to its end; the rest of the server's response may still be missing.
 
-    `expires_at` bounds all of them by the server's progress. Times are seconds on the event loop's clock.
+    `AttemptClock` bounds all of them in time. Times are seconds on the event loop's clock.
     """
 
     __slots__ = (
@@ -117,8 +112,7 @@
         self.started = False  # whether data was taken
         self.complete = False  # whether the complete value was received
         self.collecting = False
-        # Whether the value may be passed on before it is complete although answers wait behind it.
-        self.trusted = True
+        self.trusted = True  # whether no server has failed within an answer to this request
         self.on_data: Callable[[], None] = lambda: None  # called when there is data to take
 
     @property
@@ -131,29 +125,17 @@
         """Whether a part of the value was taken and the source may still fail to give the rest."""
         return self.started and not self.complete
 
-    @property
-    def expires_at(self) -> float:
-        """The time at which the source is given up unless it makes progress; infinite while it is paused.
-
-        A source that goes on giving is not given up once a part was passed on, however long it takes.
-        """
-        if self.complete:
-            return self.progress.stalled_at(STALL_TIMEOUT)
-        if self.started:
-            return max(self.due, self.progress.stalled_at(STALL_TIMEOUT))
-        if self.collecting and not self.trusted:
-            return self.hold_until
-        if self.received < MIN_PROGRESS and not self.progress.paused:
-            return self.hold_until
-        return max(self.hold_until, self.progress.stalled_at(HELD_STALL_TIMEOUT))
-
     def may_start(self, now: float) -> bool:
         """Returns whether a held value may be passed on although it is incomplete and answers wait behind.
 
         If its server failed afterwards, those answers would be lost, so it must be giving the value.
         """
         is_time = now >= max(self.hold_until - START_AHEAD, self.begun_at + BURST_TIME)
-        return self.trusted and is_time and self.progress.stalled_at(RECENT) > now
+        return is_time and self.progress.stalled_at(RECENT) > now
+
+    def distrust(self) -> None:
+        """Holds the value back until its time, since a server has failed within an answer to this request."""
+        self.trusted, self.hold_until = False, self.due
 
     def feed(self, chunk: bytes) -> None:
         """Adds a chunk from the source; pauses the source unless the client takes the chunk at once."""
--- a/applehub/policy/balancer.py
+++ b/applehub/policy/balancer.py
@@ -7,7 +7,7 @@
 from applehub.policy.event_context import EventContext
 from applehub.policy.failed_starts import FailedStarts
 from applehub.policy.gossip import Gossip
-from applehub.policy.job import Job
+from applehub.policy.job import Job, MissInFlight
 from applehub.policy.keys import HitHistory
 from applehub.policy.placement import Placement
 from applehub.policy.replicas import Replicas
@@ -38,14 +38,14 @@
         self.hit_history, self.replicas = HitHistory(), Replicas(context, self.server_table)
         self.monitor = Monitor(context.shortest_objective // 2)
         self.gossip = Gossip(context, self.server_table, self.monitor)
-        # Likely misses in flight, by request and attempt: send time, and time from which each counts as slow.
-        self.misses_in_flight: dict[tuple[str, int], tuple[int, int]] = {}
+        self.misses_in_flight: dict[tuple[str, int], MissInFlight] = {}  # by request and attempt
         # Keys that are being read from the origin, and the jobs that wait for the result.
         self.fetch_waiters: dict[str, list[Job]] = {}
         self.failed_starts = FailedStarts(context, self._retry_start, self._stop_retrying)
         self.release_at = 0  # clock time of the next scheduled release of queued jobs
         self.handlers: dict[type, Callable[..., None]] = {
             api.Request: self._on_request,
+            api.ResponseStarted: self._on_response_started,
             api.StreamOpened: self._on_stream_opened,
             api.Outcome: self._on_outcome,
             api.Members: self.server_table.on_members,
@@ -96,11 +96,12 @@
 
     def _run_monitor(self, _: Job | None) -> None:
         # A slow read counts as unhealthy before it ends, so that an origin that hangs is detected.
-        for attempt, (sent_at, slow_at) in list(self.misses_in_flight.items()):
-            if slow_at > self.context.now:
+        for attempt, miss in list(self.misses_in_flight.items()):
+            if miss.slow_at > self.context.now:
                 break
-            del self.misses_in_flight[attempt]
-            self.monitor.record(False, sent_at)
+            if not miss.response_started:
+                del self.misses_in_flight[attempt]
+                self.monitor.record(False, miss.sent_at)
         self._release_queued(None)  # adds the tokens due by now to the throttle's level
         previous_throttle = self.monitor.throttle
         log_line = self.monitor.step(self.context.now, bool(self.misses_in_flight))
@@ -284,9 +285,8 @@
         job.attempts_made += 1
         job.tried.add(server.member.server)
         if is_read or (job.likely_miss and not self.context.settings.cache_aside):
-            self.misses_in_flight[job.request.id, job.attempts_made - 1] = (
-                now,
-                now + int(job.spec.latency_objective * SLOW_FRACTION),
+            self.misses_in_flight[job.request.id, job.attempts_made - 1] = MissInFlight(
+                now, now + int(job.spec.latency_objective * SLOW_FRACTION)
             )
         if key is not None and not self.context.settings.cache_aside:
             self.hit_history.remember(key, now)
@@ -347,11 +347,18 @@
             if is_reading:
                 self._finish_fetch(job.request.key or "", False)  # a cancelled read is not cached
 
+    def _on_response_started(self, event: api.ResponseStarted) -> None:
+        """Records that a server is not silent, however long the rest of its response takes."""
+        if (miss := self.misses_in_flight.get((event.id, event.attempt))) is not None:
+            miss.response_started = True
+        if (server := self.server_table.servers.get(event.server)) is not None:
+            server.timeouts = 0
+
     def _on_stream_opened(self, event: api.StreamOpened) -> None:
         """Releases the jobs that wait for the key, since the cache can serve it before the stream ends."""
-        miss_times = self.misses_in_flight.pop((event.id, event.attempt), None)
-        if miss_times is not None:
-            self.monitor.record(self.context.now < miss_times[1], miss_times[0])
+        miss = self.misses_in_flight.pop((event.id, event.attempt), None)
+        if miss is not None:
+            self.monitor.record(self.context.now < miss.slow_at, miss.sent_at)
         if (job := self.jobs.get(event.id)) is None:
             return
         if job.shares_origin_read:
@@ -373,11 +380,11 @@
         event = event if status is event.status else replace(event, status=status)
         if server is not None:
             self.server_table.observe(server, event)
-        miss_times = self.misses_in_flight.pop((event.id, event.attempt), None)
+        miss = self.misses_in_flight.pop((event.id, event.attempt), None)
         # Broken connections and cancelled attempts are no evidence of the origin's health.
-        if miss_times is not None and event.status not in (*CONNECTION_BROKEN, api.Status.CANCELLED):
+        if miss is not None and event.status not in (*CONNECTION_BROKEN, api.Status.CANCELLED):
             self.monitor.record(
-                event.status is api.Status.OK and self.context.now < miss_times[1], miss_times[0]
+                event.status is api.Status.OK and self.context.now < miss.slow_at, miss.sent_at
             )
         if job is None:
             return
--- a/applehub/policy/job.py
+++ b/applehub/policy/job.py
@@ -10,6 +10,15 @@
 MAX_PAUSE = 15 * SECOND // 100
 
 
+@dataclass(slots=True)
+class MissInFlight:
+    """An attempt for a likely miss, which shows the health of the origin."""
+
+    sent_at: int
+    slow_at: int  # clock time from which it counts as slow
+    response_started: bool = False  # whether it is not silent, and so is judged by its result alone
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A request in progress and the state of its attempts."""
--- a/tests/test_begun_answers.py
+++ b/tests/test_begun_answers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import signal
 from pathlib import Path
 
 import pytest
@@ -58,3 +59,35 @@
     for task in tasks:
         task.cancel()
     await cache.stop()
+
+
+# Guards against an answer that is cut off because its first bytes came while the process stood still.
+async def test_response_that_begins_while_process_stands_still_is_awaited(tmp_path: Path) -> None:
+    value = VALUES["short"]
+    response = hit(value)
+    tasks: list[asyncio.Task[None]] = []
+
+    async def stop_and_answer(writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(OBJECTIVE - 0.08)
+        running.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.04)
+        writer.write(response[:7])
+        await asyncio.sleep(0.11)
+        running.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.08)
+        writer.write(response[7:])
+
+    def start(request: list[bytes], writer: asyncio.StreamWriter) -> None:
+        tasks.append(asyncio.create_task(stop_and_answer(writer)))
+
+    cache = Cache(start)
+    await cache.start()
+    known = listing(3, entry("c0", cache.address))
+    async with running_program(tmp_path, 256, known=known, settings=settings_of(CATALOGUE)) as program:
+        running, addresses, _ = program
+        caller = await connect_client(addresses["INFO listening on"])
+        caller.get(info=b"c=consulta,d=%d" % READ["deadline_ms"])
+        assert await caller.answer() == value
+        caller.writer.close()
+        await asyncio.gather(*tasks)
+    await cache.stop()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -787,6 +787,37 @@
     assert router.balancer.jobs == {}
 
 
+# Guards against a server that counts as silent although it has begun to answer.
+@pytest.mark.parametrize("started", [False, True])
+def test_only_silent_origin_counts_as_unhealthy_before_its_answer(
+    monkeypatch: pytest.MonkeyPatch, started: bool
+) -> None:
+    router, recorded = Router(), []
+    monkeypatch.setattr(router.balancer.monitor, "record", lambda healthy, _: recorded.append(healthy))
+    _, (first,) = router.send_request("k")
+    (second,) = router.finish_attempt(first, Status.MISS)
+    assert isinstance(second, api.Send)
+    server = router.balancer.server_table.servers[second.server]
+    server.timeouts = 1
+    recorded.clear()
+    if started:
+        assert router.deliver(api.ResponseStarted(second.id, 1, second.server)) == []
+    assert server.timeouts == (0 if started else 1)
+    router.advance(SECOND + 10 * MILLI)
+    assert recorded == ([] if started else [False])
+    router.finish_attempt(second, Status.OK, 1)
+    assert not router.balancer.misses_in_flight and recorded == [False]
+
+
+def test_started_response_of_ended_request_is_ignored() -> None:
+    router = Router()
+    name, (first,) = router.send_request("k")
+    assert isinstance(first, api.Send)
+    router.deliver(api.RequestCancelled(name))
+    assert router.deliver(api.ResponseStarted(name, 0, first.server)) == []
+    assert router.deliver(api.ResponseStarted(name, 0, "unknown")) == []
+
+
 def test_request_without_a_key_is_never_throttled() -> None:
     router = Router()
     router.enable_throttle()
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -13,6 +13,7 @@
 
 from applehub import interface as api
 from applehub.node import clients, pool, resp
+from applehub.node.attempt_clock import AttemptPhase
 from applehub.node.call import Call, Exchange
 from applehub.node.stream import CHUNK_SIZE
 
@@ -72,11 +73,8 @@
         (pending_request,) = bench.driver.requests.values()
         # The deadline no longer applies once the answer has started.
         assert pending_request.deadline_timer is not None and pending_request.deadline_timer.cancelled()
-        assert (
-            pending_request.attempt is not None
-            and pending_request.attempt.timer is not None
-            and pending_request.attempt.timer.cancelled()
-        )
+        assert pending_request.attempt is not None and pending_request.attempt.clock is not None
+        assert pending_request.attempt.clock.phase is AttemptPhase.FORWARDING
         bench.cache.writers[0].write(hit(LONG)[100_000:])
         remaining_size = len(LONG) - 90_000
         assert await read_exactly(caller, remaining_size + 2) == LONG[90_000:] + b"\r\n"
