--- a/tests/router_bench.py
+++ b/tests/router_bench.py
@@ -220,15 +220,19 @@
     ),
     entries: Callable[[Cache, Web], list[Json]] | None = None,
     sockets: int = 64,
+    settings_json: Json | None = None,
     **ceilings: Any,
 ) -> AsyncIterator[Bench]:
-    """Runs a router with one cache server and one origin, connected as in the program."""
+    """Runs a router with one cache server and one origin, connected as in the program.
+
+    settings_json: replaces the settings of `info`.
+    """
     from applehub.policy import Balancer
 
     peers = Cache(cache), Web(origin)
     for peer in peers:
         await peer.start()
-    settings_json = info(**ceilings)
+    settings_json = settings_json or info(**ceilings)
     settings, limits, names = (
         read_settings(settings_json),
         read_network_limits(settings_json),
--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -11,7 +11,7 @@
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
@@ -75,8 +75,8 @@
     """A form of a response. is_passed_on: whether the value is passed on while it arrives."""
 
     name: str
-    value: bytes
-    response: bytes
+    value: bytes = field(repr=False)
+    response: bytes = field(repr=False)
     from_origin: bool
     is_passed_on: bool = False
 
