Give each phase of a client's command its own time

Seen (by the new tests): a client that waits 2 s on a new connection, or takes 2 s for the head of a write, and then goes on steadily, was closed 2.5 s after it had connected or had begun, with -ERR. A client may take 2 s for a head. The first command counted from the connection; a value counted from the head, as the read that ends the head was no progress of the value yet. And a client whose bytes came while the process stood still was closed. Change: CommandClock owns the time of a client's next command; each phase (silent, head, value) has 2.5 s, and bytes that came are read before it ends. Empty commands still extend nothing. Changed tests: test_router.py, test_stream.py, test_command_turns.py, test_fault_scenarios.py name the module and the timer as moved; their checks are the same.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -12,6 +12,7 @@
 from applehub.node.answer_slot import Slot
 from applehub.node.arrivals import ArrivalTimes, TimedSelector
 from applehub.node.call import CallError, read_call
+from applehub.node.command_clock import CommandClock, CommandPhase
 from applehub.node.command_turns import CommandTurns
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
@@ -21,7 +22,6 @@
     INPUT_FRACTION,
     LONG_VALUE_FRACTION,
 )
-from applehub.node.progress import MIN_CLIENT_PROGRESS, ProgressMeter
 from applehub.node.reasons import ClientClose
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import PEER_CLOSED, UnreadInput
@@ -29,7 +29,6 @@
 
 MAX_PIPELINED_COMMANDS = 32  # maximum commands of one connection in progress; later commands wait
 FREE_INPUT = 1024  # bytes that a connection may read and buffer although no memory is left for input
-COMMAND_TIMEOUT = 2.5  # seconds for a complete command, from the connection or from the command's first byte
 log = logging.getLogger("applehub")
 
 
@@ -88,8 +87,7 @@
         self.reserved_bytes = 0  # bytes of the memory budget for a long value that is being received
         self.held_bytes = 0  # bytes of the memory budget for answers that are not written yet
         self.delivery_watch = DeliveryWatch()
-        self.command_timer: asyncio.TimerHandle | None = None
-        self.value_progress = ProgressMeter(0.0, MIN_CLIENT_PROGRESS)
+        self.command_clock = CommandClock(self._command_timed_out, self._has_unread_input)
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
         self.close_reason: ClientClose | None = None
@@ -110,7 +108,7 @@
             self._end_sending(resp.error("max number of clients reached"))
             return
         self.owner.connection_opened(self)
-        self._update_command_timer()
+        self.command_clock.enter(self._command_phase)
 
     def max_read_size(self) -> int:
         """Limits reads to what the memory budget has room for; the memory of a long value is reserved."""
@@ -123,10 +121,7 @@
         if self.phase is not Phase.OPEN or self.transport is None:
             return
         self.arrivals.record_read(len(data), self.transport.get_extra_info("socket"), self.read_size)
-        if self.frames.in_value:
-            now = asyncio.get_running_loop().time()
-            if self.value_progress.received(len(data), now):
-                self._cancel_command_timer()  # the timeout restarts with the progress of a value
+        self.command_clock.received(len(data))
         self.frames.feed(data)
         self.advance()
 
@@ -136,7 +131,7 @@
         self._disconnect()
         self.owner.connection_closed(self)
         self.delivery_watch.stop()
-        self._cancel_command_timer()
+        self.command_clock.enter(CommandPhase.NONE)
 
     def eof_received(self) -> None:
         self._disconnect()  # at once, since the transport closes only once its write buffer is empty
@@ -277,25 +272,13 @@
         """
         return self.phase is Phase.OPEN and bool(self.frames.buffer) and not self.has_waiting_commands
 
-    def _update_command_timer(self) -> None:
-        """Starts or stops the timeout for a complete command.
-
-        Prevents clients that send nothing, or an incomplete command, from using up the connection limit. The
-        time of a partial command counts from its first byte, not from the last answer to earlier commands.
-        """
-        silent = self.phase is Phase.OPEN and not self.sent_command and not self.slots
-        waiting = silent or self._has_partial_command
-        if waiting and self.command_timer is None:
-            self.command_timer = asyncio.get_running_loop().call_later(
-                COMMAND_TIMEOUT, self._command_timed_out
-            )
-        elif not waiting:
-            self._cancel_command_timer()
-
-    def _cancel_command_timer(self) -> None:
-        if self.command_timer is not None:
-            self.command_timer.cancel()
-            self.command_timer = None
+    @property
+    def _command_phase(self) -> CommandPhase:
+        """What has come of the next command; none if the client owes nothing of it."""
+        if self._has_partial_command:
+            return CommandPhase.VALUE if self.frames.in_value else CommandPhase.HEAD
+        is_silent = not self.sent_command and not self.frames.buffer
+        return CommandPhase.SILENT if is_silent and self.phase is Phase.OPEN else CommandPhase.NONE
 
     def _command_timed_out(self) -> None:
         log.info("closing a client connection: no complete command before the timeout")
@@ -348,7 +331,7 @@
         else:
             self.idle_since = asyncio.get_running_loop().time()
             self._update_reading()
-            self._update_command_timer()
+            self.command_clock.enter(self._command_phase)
 
     def _may_close(self) -> bool:
         """Returns whether this connection is to be closed, and all that was received for it was processed."""
@@ -356,8 +339,8 @@
 
     def _has_unread_input(self) -> bool:
         """Returns whether the socket holds unread input, which must be read before sending ends."""
-        assert self.transport is not None
-        return UnreadInput(self.transport.get_extra_info("socket")).pending()
+        transport = self.transport
+        return transport is not None and UnreadInput(transport.get_extra_info("socket")).pending()
 
     def close_idle(self) -> None:
         """Closes this idle connection in favour of a new one."""
@@ -376,7 +359,7 @@
         if self.phase is not Phase.DISCONNECTED:
             self.phase = Phase.LINGERING
         self._discard_input()
-        self._cancel_command_timer()
+        self.command_clock.enter(CommandPhase.NONE)
         sock = self.transport.get_extra_info("socket")
         with contextlib.suppress(OSError):  # without TCP_CORK the end of the stream is a separate segment
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
@@ -492,7 +475,7 @@
         slot = Slot(self)
         self.slots.append(slot)
         self.sent_command = True
-        self._cancel_command_timer()  # the next command has a timeout of its own
+        self.command_clock.command_complete()
         return slot
 
     def _update_reading(self) -> None:
--- a/tests/test_command_turns.py
+++ b/tests/test_command_turns.py
@@ -11,7 +11,8 @@
 from test_closes import PING, PONG, RawClient, raw_client
 from virtual_time import run_in_virtual_time
 
-from applehub.node.clients import COMMAND_TIMEOUT, ClientConnection
+from applehub.node.clients import ClientConnection
+from applehub.node.command_clock import COMMAND_TIMEOUT
 from applehub.node.command_turns import COMMANDS_PER_TICK, COMMANDS_PER_TURN
 from applehub.node.listener import MIN_IDLE_TIME
 
--- a/tests/test_fault_scenarios.py
+++ b/tests/test_fault_scenarios.py
@@ -537,7 +537,7 @@
         async with router() as bench, raw_client(bench) as client:
             client.sock.sendall(GET[:30])
             (connection,) = bench.clients.connections
-            await wait_until(lambda: connection.command_timer)
+            await wait_until(lambda: connection.command_clock.timer)
             connection._command_timed_out()  # the rest is sent in the event loop tick of the timeout
             client.sock.sendall(rest)
             assert await client.read_all() == b"-ERR Protocol error: no whole command in time\r\n"
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -24,7 +24,7 @@
 )
 
 from applehub import interface as api
-from applehub.node import clients, delivery_watch, listener, pool, resp
+from applehub.node import command_clock, delivery_watch, listener, pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import ANSWER_MARGIN
 from applehub.node.pending_request import PendingRequest
@@ -555,7 +555,7 @@
 async def test_client_without_a_complete_command_in_time_gets_an_error_and_is_closed(
     monkeypatch: pytest.MonkeyPatch, sent: bytes
 ) -> None:
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT", 0.05)
+    monkeypatch.setattr(command_clock, "COMMAND_TIMEOUT", 0.05)
     async with router() as bench:
         caller = await bench.caller()
         caller.writer.write(sent)
@@ -569,16 +569,16 @@
 async def test_client_with_a_request_in_flight_or_answered_is_not_timed_out(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT", 0.05)
+    monkeypatch.setattr(command_clock, "COMMAND_TIMEOUT", 0.05)
     async with router(lambda command, writer: None) as bench:
         caller = await bench.caller()
         caller.get()
         await wait_until(lambda: bench.cache.received)
         (client,) = bench.clients.connections
-        assert client.command_timer is None
+        assert client.command_clock.timer is None
         bench.cache.writers[0].write(hit())
         assert await caller.answer() == b"v"
-        assert client.command_timer is None and client in bench.clients.connections
+        assert client.command_clock.timer is None and client in bench.clients.connections
 
 
 async def test_idle_client_is_closed_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -703,14 +703,14 @@
 
 async def test_each_command_has_its_own_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     """Prevents the close of a client whose reads always end in the middle of a command."""
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT", WAIT_TIMEOUT)
+    monkeypatch.setattr(command_clock, "COMMAND_TIMEOUT", WAIT_TIMEOUT)
     async with router() as bench:
         caller = await bench.caller()
         ping = resp.command(b"PING")
         caller.writer.write(ping + ping[:3])
         assert await caller.answer() == b"PONG"
         (client,) = bench.clients.connections
-        first_timer = client.command_timer
+        first_timer = client.command_clock.timer
         caller.writer.write(ping[3:] + ping[:3])
         assert await caller.answer() == b"PONG"
-        assert first_timer is not None and first_timer.cancelled() and client.command_timer is not None
+        assert first_timer is not None and first_timer.cancelled() and client.command_clock.timer is not None
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -12,7 +12,7 @@
 from support import MILLI, SECOND, Router
 
 from applehub import interface as api
-from applehub.node import clients, pool, resp
+from applehub.node import command_clock, pool, resp
 from applehub.node.attempt_clock import AttemptPhase
 from applehub.node.call import Call, Exchange
 from applehub.node.stream import CHUNK_SIZE
@@ -268,21 +268,21 @@
 
 
 async def test_slow_write_does_not_time_out_while_data_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT", WAIT_TIMEOUT)
+    monkeypatch.setattr(command_clock, "COMMAND_TIMEOUT", WAIT_TIMEOUT)
     async with router() as bench:
         caller = await bench.caller()
         data = write(LONG[:100_000])
         caller.writer.write(data[:50_000])
         await wait_until(lambda: bench.driver.memory.used > 100_000)
         (client,) = bench.clients.connections
-        timer = client.command_timer
+        timer = client.command_clock.timer
         assert timer is not None
         caller.writer.write(data[50_000:60_000])
         await wait_until(timer.cancelled)
-        assert client.command_timer is not None
+        assert client.command_clock.timer is not None
         caller.writer.write(data[60_000:])
         assert await caller.answer() == b"from origin"
-        monkeypatch.setattr(clients, "COMMAND_TIMEOUT", 0.05)
+        monkeypatch.setattr(command_clock, "COMMAND_TIMEOUT", 0.05)
         caller.writer.write(data[:50_000])
         assert str(await caller.answer()) == "ERR Protocol error: no whole command in time"
         assert await caller.answer() is None
