Run the tests of request times with an objective below the client's wait as well

Change: each case of test_request_time.py that ends in time, alone and with commands behind, runs with both.

--- a/tests/test_request_time.py
+++ b/tests/test_request_time.py
@@ -20,9 +20,11 @@
     MISS,
     Bench,
     Caller,
+    Json,
     entry,
     hit,
     http,
+    info,
     router,
     start_server_with_small_buffer,
     wait_until,
@@ -40,6 +42,17 @@
 TRICKLE_PAUSE = 0.7  # seconds between two bytes of a server that gives a byte now and then
 SHORT, LONG = bytes(range(256)) * 16, bytes(range(256)) * 1024
 INFO = b"c=read,t=acme,d=%d" % (WAIT * 1000)
+# Seconds of the latency objective, after which an answer has no worth; None: longer than any wait.
+OBJECTIVES = {"objective after the wait": None, "objective before the wait": 0.3}
+
+
+def settings_with_objective(seconds: float | None) -> Json:
+    """Returns settings whose classes have an objective, after which an answer has no worth."""
+    settings = info()
+    if seconds is not None:
+        for request_class in settings["classes"]:
+            request_class |= {"aim": int(seconds * 1e9), "lateWorth": 0}
+    return settings
 
 
 def chunked(value: bytes) -> bytes:
@@ -162,7 +175,9 @@
 
 
 @asynccontextmanager
-async def router_before(framing: Framing, state: State, behaviour: Behaviour) -> AsyncIterator[Bench]:
+async def router_before(
+    framing: Framing, state: State, behaviour: Behaviour, objective: float | None = None
+) -> AsyncIterator[Bench]:
     """Runs a router whose server behaves so within the response to the key `k`."""
     tasks: list[asyncio.Task[None]] = []
 
@@ -175,7 +190,8 @@
     def miss(request: Any, writer: asyncio.StreamWriter) -> bytes:
         return MISS
 
-    async with router(miss if framing.from_origin else respond, respond) as bench:
+    settings = settings_with_objective(objective)
+    async with router(miss if framing.from_origin else respond, respond, settings_json=settings) as bench:
         yield bench
         for task in tasks:
             task.cancel()
@@ -235,14 +251,19 @@
 
 
 # Guards against a request that no clock ends, because of what its server does within the response.
+@pytest.mark.parametrize("objective", OBJECTIVES.values(), ids=OBJECTIVES)
 @pytest.mark.parametrize("behaviour", Behaviour)
 @pytest.mark.parametrize("state", State)
 @pytest.mark.parametrize("framing", FRAMINGS, ids=lambda framing: framing.name)
 def test_each_state_of_request_ends_in_time(
-    monkeypatch: pytest.MonkeyPatch, framing: Framing, state: State, behaviour: Behaviour
+    monkeypatch: pytest.MonkeyPatch,
+    framing: Framing,
+    state: State,
+    behaviour: Behaviour,
+    objective: float | None,
 ) -> None:
     async def test() -> None:
-        async with router_before(framing, state, behaviour) as bench:
+        async with router_before(framing, state, behaviour, objective) as bench:
             caller = await bench.caller()
             caller.get(info=INFO)
             whole = b"$%d\r\n%b\r\n" % (len(framing.value), framing.value)
@@ -274,15 +295,21 @@
 
 
 # Guards against commands that are never answered, because a server stops within the answer before them.
+@pytest.mark.parametrize("objective", OBJECTIVES.values(), ids=OBJECTIVES)
 @pytest.mark.parametrize("wait", [0.2, WAIT])
 @pytest.mark.parametrize("behaviour", [Behaviour.SILENT, Behaviour.TRICKLE, Behaviour.RESET])
 @pytest.mark.parametrize("state", State)
 @pytest.mark.parametrize("framing", FRAMINGS, ids=lambda framing: framing.name)
 def test_commands_behind_are_answered_in_each_state(
-    monkeypatch: pytest.MonkeyPatch, framing: Framing, state: State, behaviour: Behaviour, wait: float
+    monkeypatch: pytest.MonkeyPatch,
+    framing: Framing,
+    state: State,
+    behaviour: Behaviour,
+    wait: float,
+    objective: float | None,
 ) -> None:
     async def test() -> None:
-        async with router_before(framing, state, behaviour) as bench:
+        async with router_before(framing, state, behaviour, objective) as bench:
             caller, loop = await bench.caller(), asyncio.get_running_loop()
             started = loop.time()
             info = INFO.replace(b"d=%d" % (WAIT * 1000), b"d=%d" % (wait * 1000))
