--- a/tests/router_bench.py
+++ b/tests/router_bench.py
@@ -122,9 +122,13 @@
         while (line := (await reader.readline()).strip()) != b"":
             name, _, value = line.partition(b":")
             headers[name.strip().lower()] = value.strip()
-        body = await reader.readexactly(int(headers.get(b"content-length", 0)))
+        body = await self.read_body(reader, target, int(headers.get(b"content-length", 0)))
         return method, target, headers, body
 
+    async def read_body(self, reader: asyncio.StreamReader, target: bytes, size: int) -> bytes:
+        """Reads the body of a request for a target."""
+        return await reader.readexactly(size)
+
 
 def http(status: int, body: bytes = b"", extra: bytes = b"") -> bytes:
     return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), extra, body)
