Do not close a client that rests within a command in favour of a new one

Seen (by the new test, and by reading): at the limit on connections, a client that had sent a part of a command and rested for 2 s, less than the 2.5 s that it has, was closed without an answer as soon as a new client connected. Cause: a connection counted as idle without answers that wait, whatever had come of its next command: the time of one state (idle) went on in the next. Change: an idle connection has no buffered input either.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -264,6 +264,11 @@
         interruptible = bool(self.slots) and self.slots[0].interruptible
         return full or interruptible or self.owner.turns.is_waiting(self)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the client has sent a command, and has all answers to it and nothing of another one."""
+        return self.sent_command and not self.slots and not self.frames.buffer
+
     @property
     def _has_partial_command(self) -> bool:
         """Whether the buffered input is a command that the client has not sent completely.
--- a/applehub/node/listener.py
+++ b/applehub/node/listener.py
@@ -80,14 +80,7 @@
         if len(self.connections) < self.connection_limits.clients:
             return True
         idle_before = asyncio.get_running_loop().time() - MIN_IDLE_TIME
-        idle = [
-            client
-            for client in self.connections
-            if client.idle_since < idle_before
-            and not client.slots
-            and client.sent_command
-            and not self.turns.is_waiting(client)
-        ]
+        idle = [client for client in self.connections if client.is_idle and client.idle_since < idle_before]
         longest_idle = min(idle, key=lambda client: client.idle_since, default=None)
         if longest_idle is None:
             return False
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -84,6 +84,29 @@
     run_in_virtual_time(monkeypatch, test)
 
 
+# Guards against a close of a client that rests within a command, in favour of a new connection.
+@pytest.mark.parametrize("value", VALUES.values(), ids=VALUES)
+@pytest.mark.parametrize("position", [1, 60, 150])
+def test_client_within_command_is_not_closed_for_a_new_one(
+    monkeypatch: pytest.MonkeyPatch, value: bytes, position: int
+) -> None:
+    data = command(b"C.SET", b"k", b"w2", INFO, value)
+
+    async def test() -> None:
+        async with router(sockets=1) as bench:
+            caller = await bench.caller()
+            caller.writer.write(command(b"C.SET", b"k", b"w1", INFO, b"v"))
+            assert await caller.answer() == b"from origin"
+            caller.writer.write(data[:position])
+            await asyncio.sleep(COMMAND_TIMEOUT - MARGIN)
+            other = await bench.caller()
+            assert str(await other.answer()) == "ERR max number of clients reached"
+            caller.writer.write(data[position:])
+            assert await caller.answer() == b"from origin"
+
+    run_in_virtual_time(monkeypatch, test)
+
+
 # Guards against a client that stays connected for ever with commands that are empty, each sent in two parts.
 def test_empty_commands_do_not_extend_time_of_first_command(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
