--- a/tests/test_slow_reading_servers.py
+++ b/tests/test_slow_reading_servers.py
@@ -14,7 +14,7 @@
 from deployments import deployments, settings_of
 from router_bench import Bench, Cache, Json, Web, entry, hit, http, router, start_server_with_small_buffer
 from test_discovery import listing
-from test_request_time import LATE_LIMIT, RECEIVE_BUFFER, SCHEDULING, STOPPED_PEER_LIMIT, check_rest
+from test_request_time import LATE_LIMIT, RECEIVE_BUFFER, SCHEDULING, STOPPED_PEER_LIMIT, check_rest, reset
 from virtual_time import run_in_virtual_time
 
 from applehub.node.resp import command
@@ -62,12 +62,13 @@
 
 
 class Event(StrEnum):
-    """What a list tells of the server while it reads."""
+    """What a list tells of the server while it reads, or what becomes of its first connection."""
 
     NONE = "nothing"
     DRAINING = "it is draining"
     GONE = "it is gone"
     RESTARTED = "it has restarted"
+    RESET = "its first connection is reset"
 
 
 @dataclass
@@ -79,6 +80,8 @@
 
     read_time: float
     answering: Answering
+    event: Event = Event.NONE
+    attempts: int = 0
     whole_at: list[float] = field(default_factory=list)
     address: str = ""
     server: asyncio.Server | None = None
@@ -105,8 +108,12 @@
         response = http(200, self.answering.receipt)
         early = self.answering.early_size(response)
         writer.write(response[:early])
+        self.attempts += 1
         while left:
             await asyncio.sleep(self.read_time / READS)
+            if self.event is Event.RESET and self.attempts == 1 and left < SIZE / 2:
+                reset(writer)
+                raise ConnectionResetError
             left -= len(await reader.readexactly(min(left, SIZE // READS)))
         self.whole_at.append(asyncio.get_running_loop().time())
         size = max(1, -(-(len(response) - early) // PIECES))
@@ -137,7 +144,7 @@
 
 def is_owed(site_class: Json, origin: SlowServer, event: Event) -> bool:
     """Returns whether the receipt is owed, as its server has begun to answer and goes on, or may be late."""
-    if event is Event.RESTARTED:
+    if event in (Event.RESTARTED, Event.RESET):
         return False
     answering, wait = origin.answering, site_class["deadline_ms"] / 1000
     if answering is Answering.WHOLE_EARLY or answering is Answering.LONG_PART_EARLY:
@@ -155,7 +162,7 @@
 def tell(bench: Bench, origin: SlowServer, event: Event) -> None:
     """Tells the router of an event by a list."""
     states = {Event.DRAINING: "Terminating", Event.GONE: "Gone"}
-    if event is not Event.NONE:
+    if event not in (Event.NONE, Event.RESET):
         boot_ms = time.time_ns() // 1_000_000 if event is Event.RESTARTED else 0
         changed = entry(
             "o", origin.address, model="origin", state=states.get(event, "Ready"), boot_ms=boot_ms
@@ -186,7 +193,7 @@
     wait = site_class["deadline_ms"] / 1000
 
     async def test() -> None:
-        origin = SlowServer(wait + relative_read_time, answering)
+        origin = SlowServer(wait + relative_read_time, answering, event)
         async with router_before(origin, site_class) as bench:
             caller, loop = await bench.caller(), asyncio.get_running_loop()
             info = b"c=%b,d=%d,k=1" % (site_class["name"].encode(), round(wait * 1000))
