Drop a connection's command clock with it, which left a reference cycle

Change: the clock knows its connection by a typed interface, and drops it when the connection is lost.

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -87,7 +87,7 @@
         self.reserved_bytes = 0  # bytes of the memory budget for a long value that is being received
         self.held_bytes = 0  # bytes of the memory budget for answers that are not written yet
         self.delivery_watch = DeliveryWatch()
-        self.command_clock = CommandClock(self._command_timed_out, self._has_unread_input)
+        self.command_clock = CommandClock(self)
         self.sent_command = False  # whether a complete command was received
         self.idle_since = 0.0  # event loop time in seconds
         self.close_reason: ClientClose | None = None
@@ -131,7 +131,7 @@
         self._disconnect()
         self.owner.connection_closed(self)
         self.delivery_watch.stop()
-        self.command_clock.enter(CommandPhase.NONE)
+        self.command_clock.stop()
 
     def eof_received(self) -> None:
         self._disconnect()  # at once, since the transport closes only once its write buffer is empty
@@ -285,7 +285,8 @@
         is_silent = not self.sent_command and not self.frames.buffer
         return CommandPhase.SILENT if is_silent and self.phase is Phase.OPEN else CommandPhase.NONE
 
-    def _command_timed_out(self) -> None:
+    def command_timed_out(self) -> None:
+        """Answers with an error and closes the connection, as no complete command came in time."""
         log.info("closing a client connection: no complete command before the timeout")
         self._note_close(ClientClose.COMMAND_TIMEOUT)
         self._append_answer(resp.error("Protocol error: no whole command in time"))
@@ -340,9 +341,9 @@
 
     def _may_close(self) -> bool:
         """Returns whether this connection is to be closed, and all that was received for it was processed."""
-        return self.owner.closing and not self.owner.turns.is_waiting(self) and not self._has_unread_input()
+        return self.owner.closing and not self.owner.turns.is_waiting(self) and not self.has_unread_input()
 
-    def _has_unread_input(self) -> bool:
+    def has_unread_input(self) -> bool:
         """Returns whether the socket holds unread input, which must be read before sending ends."""
         transport = self.transport
         return transport is not None and UnreadInput(transport.get_extra_info("socket")).pending()
@@ -408,7 +409,7 @@
             if not parts or self.transport is None:
                 break
             idle = not self.slots and not self.frames.buffer and self.phase is Phase.OPEN
-            if self.owner.close_after_answer and idle and not self._has_unread_input():
+            if self.owner.close_after_answer and idle and not self.has_unread_input():
                 self._note_close(ClientClose.SHUTDOWN)
                 self._end_sending(b"".join(parts))
                 break
--- a/applehub/node/command_clock.py
+++ b/applehub/node/command_clock.py
@@ -12,8 +12,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from enum import Enum
+from typing import Protocol
 
 from applehub.node.progress import MIN_CLIENT_PROGRESS, ProgressMeter
 
@@ -29,14 +29,23 @@
     VALUE = 3
 
 
+class TimedClient(Protocol):
+    """The connection of a client, as its clock uses it."""
+
+    def command_timed_out(self) -> None:
+        """Ends the connection, as its client has taken too long for a command."""
+
+    def has_unread_input(self) -> bool:
+        """Returns whether the kernel holds bytes of the client that were not read yet."""
+
+
 class CommandClock:
-    """Calls a function once a client has taken too long for its next command."""
+    """Tells a client's connection once the client has taken too long for its next command."""
 
-    __slots__ = ("_has_unread_input", "_on_expired", "_progress", "phase", "timer")
+    __slots__ = ("_client", "_progress", "phase", "timer")
 
-    def __init__(self, on_expired: Callable[[], None], has_unread_input: Callable[[], bool]) -> None:
-        """has_unread_input: returns whether the kernel holds bytes of the client that were not read yet."""
-        self._on_expired, self._has_unread_input = on_expired, has_unread_input
+    def __init__(self, client: TimedClient) -> None:
+        self._client: TimedClient | None = client
         self._progress = ProgressMeter(0.0, MIN_CLIENT_PROGRESS)
         self.phase = CommandPhase.NONE
         self.timer: asyncio.TimerHandle | None = None
@@ -59,6 +68,11 @@
         """Ends the phase of a command; the next one has a time of its own."""
         self.enter(CommandPhase.NONE)
 
+    def stop(self) -> None:
+        """Stops the clock for good, and drops the reference to the connection."""
+        self.enter(CommandPhase.NONE)
+        self._client = None
+
     def _restart(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -69,9 +83,10 @@
             self.timer = loop.call_later(COMMAND_TIMEOUT, self._check)
 
     def _check(self) -> None:
-        if not self._has_unread_input():
-            self._on_expired()
+        assert self._client is not None
+        if not self._client.has_unread_input():
+            self._client.command_timed_out()
             return
-        # They may have come in time, while this process stood still. They are read before the next check.
+        # It may have come in time, while this process stood still. It is read before a timer that is due now.
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_at(loop.time(), self._on_expired)
+        self.timer = loop.call_at(loop.time(), self._client.command_timed_out)
--- a/tests/test_fault_scenarios.py
+++ b/tests/test_fault_scenarios.py
@@ -538,7 +538,7 @@
             client.sock.sendall(GET[:30])
             (connection,) = bench.clients.connections
             await wait_until(lambda: connection.command_clock.timer)
-            connection._command_timed_out()  # the rest is sent in the event loop tick of the timeout
+            connection.command_timed_out()  # the rest is sent in the event loop tick of the timeout
             client.sock.sendall(rest)
             assert await client.read_all() == b"-ERR Protocol error: no whole command in time\r\n"
             await asyncio.sleep(3)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -677,10 +677,10 @@
         caller.send(b"PING")
         assert await caller.answer() == b"PONG"
         (client,) = bench.clients.connections
-        assert client.transport is not None and not client._has_unread_input()
+        assert client.transport is not None and not client.has_unread_input()
         client.transport.pause_reading()
         caller.get()
-        await wait_until(client._has_unread_input)
+        await wait_until(client.has_unread_input)
         bench.clients.close()
         client.transport.resume_reading()
         assert [await caller.answer() for _ in range(2)] == [b"v", None]
