Tell what the other client of the memory test got, if it gets no value in time

Change: the failure gives the answers by their number and the last lines of the log. The check and its bound are the same.

--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -1,6 +1,7 @@
 """The memory of the router process while hundreds of clients send large or unfinished commands."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,7 @@
 READS = 30  # long answers that each slow reader asks for
 UNREAD_TIME = 3.0  # seconds for which they read nothing
 SLOW_PIECE, SLOW_PAUSE = 1000, 0.08  # bytes and seconds
+LOGGED_LINES = 20  # lines of the log in the message of a failure
 
 
 def peak_memory_mb(pid: int) -> float:
@@ -107,6 +109,24 @@
     return LONG_ANSWER if request[1].startswith(b"long") else hit()
 
 
+async def check_other_client_is_served(address: tuple[str, int], log: list[str]) -> None:
+    """Checks that a client gets its value as soon as the memory of those that have left is free again.
+
+    log: the lines that the program has logged, for the message of a failure.
+    """
+    caller = await connect_client(address)
+    answers: list[object] = []
+    try:
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while b"v" not in answers:
+                caller.get(name=b"good%d" % len(answers))
+                answers.append(await caller.answer())
+    except TimeoutError:
+        counts = Counter(map(str, answers)).most_common()
+        pytest.fail(f"no value within {WAIT_TIMEOUT} s; answers {counts}, log {log[-LOGGED_LINES:]}")
+    caller.writer.transport.abort()
+
+
 # Guards against a process that is killed for memory which the parser, or the connections themselves, keep.
 @pytest.mark.parametrize(
     ("memory_mb", "clients", "act"),
@@ -132,19 +152,13 @@
     await origin.start()
     known = listing(3, entry("c0", cache.address), entry("o", origin.address, model="origin"))
     limits = {"memory_mb": memory_mb, "sockets": SOCKETS}
-    async with running_program(tmp_path, SOCKETS, known=known, limits=limits) as (running, addresses, _):
+    async with running_program(tmp_path, SOCKETS, known=known, limits=limits) as (running, addresses, log):
         callers = [await connect(addresses["INFO listening on"]) for _ in range(clients)]
         async with asyncio.timeout(WAIT_TIMEOUT):
             await asyncio.gather(*(act(caller, number) for number, caller in enumerate(callers)))
         assert peak_memory_mb(running.pid) <= memory_mb
         for caller in callers:
             caller.writer.transport.abort()
-        good = await connect_client(addresses["INFO listening on"])
-        answers: list[object] = []
-        async with asyncio.timeout(WAIT_TIMEOUT):
-            while b"v" not in answers:  # until the memory of those that have left is free again
-                good.get(name=b"good%d" % len(answers))
-                answers.append(await good.answer())
-        good.writer.transport.abort()
+        await check_other_client_is_served(addresses["INFO listening on"], log)
     for peer in (cache, origin):
         await peer.stop()
