--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -14,14 +14,10 @@
 from applehub.node.call import CallError, read_call
 from applehub.node.command_clock import CommandClock, CommandPhase
 from applehub.node.command_turns import CommandTurns
+from applehub.node.connection_memory import ConnectionMemory
 from applehub.node.delivery_watch import DeliveryWatch, untaken_bytes
 from applehub.node.driver import Driver
-from applehub.node.memory_budget import (
-    CONNECTION_OVERHEAD,
-    HELD_ANSWER_FRACTION,
-    INPUT_FRACTION,
-    LONG_VALUE_FRACTION,
-)
+from applehub.node.memory_budget import HELD_ANSWER_FRACTION, INPUT_FRACTION
 from applehub.node.reasons import ClientClose
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import PEER_CLOSED, UnreadInput
@@ -78,14 +74,13 @@
         """earliest_arrival: monotonic time in ns before which the client can't have sent data."""
         self.owner = owner
         self.arrivals = ArrivalTimes(owner.selector, earliest_arrival)
-        self.frames = resp.FrameParser(self._reserve_value)
+        self.budget = owner.driver.memory
+        self.memory = ConnectionMemory(self.budget)
+        self.frames = resp.FrameParser(self.memory.reserve_value)
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.OPEN
         self.advancing = self.write_paused = False
-        self.buffered_bytes = 0  # bytes in its buffers, as counted in the memory budget
-        self.reserved_bytes = 0  # bytes of the memory budget for a long value that is being received
-        self.held_bytes = 0  # bytes of the memory budget for answers that are not written yet
         self.delivery_watch = DeliveryWatch()
         self.command_clock = CommandClock(self)
         self.sent_command = False  # whether a complete command was received
@@ -94,7 +89,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.owner.driver.memory.overhead += CONNECTION_OVERHEAD
+        self.memory.connection_opened()
         self.arrivals.resume()
         # asyncio does not set TCP_NODELAY on accepted sockets. This fails if the client has disconnected.
         with contextlib.suppress(OSError):
@@ -114,7 +109,7 @@
         """Limits reads to what the memory budget has room for; the memory of a long value is reserved."""
         if self.phase is not Phase.OPEN:
             return CHUNK_SIZE  # input is discarded
-        room = self.owner.driver.memory.room(INPUT_FRACTION)
+        room = self.budget.room(INPUT_FRACTION)
         return min(CHUNK_SIZE, max(FREE_INPUT, room, self.frames.long_remaining))
 
     def data_received(self, data: bytes) -> None:
@@ -127,7 +122,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        self.owner.driver.memory.overhead -= CONNECTION_OVERHEAD
+        self.memory.connection_lost()
         self._disconnect()
         self.owner.connection_closed(self)
         self.delivery_watch.stop()
@@ -170,7 +165,7 @@
         self.phase = Phase.DISCONNECTED
         self._discard_input()
         slots, self.slots = self.slots, deque()
-        self.count_held_answer(-self.held_bytes)
+        self.memory.add_held(-self.memory.held)
         for slot in slots:
             request = slot.drop()
             if request is not None:
@@ -180,8 +175,7 @@
         """Discards unprocessed input and releases its memory."""
         self.frames = resp.FrameParser()
         self.owner.turns.discard(self)
-        self.owner.driver.memory.release(self.reserved_bytes)
-        self.reserved_bytes = 0
+        self.memory.release_value()
         self._count_buffers()
         self.owner.sending_ended(self)
 
@@ -191,26 +185,22 @@
         size: length of the answer in bytes.
         """
         written_at_once = self.is_next(slot) and not self.write_paused
-        return written_at_once or self.owner.driver.memory.has_room(size, HELD_ANSWER_FRACTION)
+        return written_at_once or self.budget.has_room(size, HELD_ANSWER_FRACTION)
 
     def count_held_answer(self, change: int) -> None:
         """Updates the memory budget with a change in the bytes of answers that are not written yet."""
-        self.held_bytes += change
-        self.owner.driver.memory.add(change)
+        self.memory.add_held(change)
 
     def reserve_long_answer(self, size: int) -> bool:
         """Counts a long answer that is collected; returns False if no memory is left for it.
 
         size: length of the answer in bytes.
         """
-        if not self.owner.driver.memory.reserve(size, LONG_VALUE_FRACTION):
-            return False
-        self.held_bytes += size
-        return True
+        return self.memory.reserve_held(size)
 
     def has_memory_left(self) -> bool:
         """Returns whether the answers that wait are within their part of the memory budget."""
-        return self.owner.driver.memory.has_room(0, HELD_ANSWER_FRACTION)
+        return self.budget.has_room(0, HELD_ANSWER_FRACTION)
 
     def is_next(self, slot: Slot) -> bool:
         """Returns whether all earlier answers were written."""
@@ -220,17 +210,10 @@
         """Returns whether a later command than that of a slot was received, be it processed yet or not."""
         return bool(self.frames.buffer) or (bool(self.slots) and self.slots[-1] is not slot)
 
-    def release_memory(self) -> None:
-        """Releases all that this connection uses of the memory budget."""
-        self.owner.driver.memory.release(self.buffered_bytes + self.reserved_bytes + self.held_bytes)
-        self.buffered_bytes = self.reserved_bytes = self.held_bytes = 0
-
     def _count_buffers(self) -> None:
         """Updates the memory budget with the bytes that this connection buffers."""
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        buffered = len(self.frames.buffer) + unsent
-        self.owner.driver.memory.add(buffered - self.buffered_bytes)
-        self.buffered_bytes = buffered
+        self.memory.set_buffered(len(self.frames.buffer) + unsent)
 
     def pause_writing(self) -> None:
         self.write_paused = True
@@ -249,13 +232,6 @@
         self.delivery_watch.stop()
         self.advance()
 
-    def _reserve_value(self, size: int) -> bool:
-        """Reserves memory for an announced long value; returns False if the value must be discarded."""
-        if not self.owner.driver.memory.reserve(size, LONG_VALUE_FRACTION):
-            return False
-        self.reserved_bytes += size
-        return True
-
     @property
     def has_waiting_commands(self) -> bool:
         """Whether received input waits to be processed, for earlier answers or for its connection's turn."""
@@ -457,8 +433,7 @@
 
     def _handle_call(self, parts: list[bytes]) -> None:
         # If the driver accepts the call, it reserves the memory of the value itself.
-        self.owner.driver.memory.release(self.reserved_bytes)
-        self.reserved_bytes = 0
+        self.memory.release_value()
         try:
             call = read_call(parts, self.owner.names)
         except CallError as error:
@@ -499,21 +474,20 @@
         self.owner.set_reading_paused(self, full)
         self._count_buffers()
         self._limit_output()
-        memory = self.owner.driver.memory
-        if memory.is_exceeded and self.buffered_bytes > resp.MAX_BUFFERED_VALUE:
+        if self.budget.is_exceeded and self.memory.buffered > resp.MAX_BUFFERED_VALUE:
             self.abort_connection(ClientClose.MEMORY)
         elif self._has_partial_command and self._exceeds_input_memory():
             self._reject_partial_command()
 
     def _exceeds_input_memory(self) -> bool:
         """Returns whether this connection buffers input for which no memory is left."""
-        return len(self.frames.buffer) > FREE_INPUT and not self.owner.driver.memory.room(INPUT_FRACTION)
+        return len(self.frames.buffer) > FREE_INPUT and not self.budget.room(INPUT_FRACTION)
 
     def _limit_output(self) -> None:
         """Processes no further command until all answers are sent, if no memory is left for more."""
         assert self.transport is not None
         unsent = self.transport.get_write_buffer_size()
-        if unsent and not self.write_paused and not self.owner.driver.memory.room(INPUT_FRACTION):
+        if unsent and not self.write_paused and not self.budget.room(INPUT_FRACTION):
             self.transport.set_write_buffer_limits(0)  # calls pause_writing
 
     def _reject_partial_command(self) -> None:
--- a/applehub/node/listener.py
+++ b/applehub/node/listener.py
@@ -115,7 +115,7 @@
 
     def connection_closed(self, client: ClientConnection) -> None:
         self.lingering.pop(client, None)
-        client.release_memory()
+        client.memory.release_all()
         self._check_empty()
 
     def _check_empty(self) -> None:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -221,7 +221,7 @@
         method, _, headers, body = bench.origin.received[0]
         assert (method, body) == (b"PUT", LONG[:size]) and headers[b"x-call-id"] == b"w1"
         await wait_until(
-            lambda: not bench.driver.requests and not bench.clients.connections.pop().buffered_bytes
+            lambda: not bench.driver.requests and not bench.clients.connections.pop().memory.buffered
         )
         assert bench.driver.memory.used == 0 and bench.pools.attempts_written == 1
 
