--- a/applehub/lab/fleet/relay.py
+++ b/applehub/lab/fleet/relay.py
@@ -7,7 +7,6 @@
 import asyncio
 import random
 import socket
-import struct
 from collections import deque
 from dataclasses import dataclass, field
 from fnmatch import fnmatchcase
@@ -17,9 +16,9 @@
 from applehub.lab.fleet.datagrams import DatagramEdge
 from applehub.lab.fleet.edge_rule import Rule
 from applehub.node.discovery import read_endpoint
+from applehub.node.send_queue import discard_on_close
 
 BACKLOG = 512
-LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER value: close sends a reset
 
 
 class RelayedConnection(asyncio.Protocol):
@@ -81,8 +80,7 @@
     def abort_with_reset(self) -> None:
         """Closes the connection with a TCP reset."""
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            discard_on_close(self.transport.get_extra_info("socket"))
             self.transport.abort()
 
     def _forward(self, data: bytes) -> None:
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -19,7 +19,7 @@
 from applehub.node.memory_budget import INPUT_FRACTION, MemoryBudget
 from applehub.node.metrics import Metrics
 from applehub.node.reasons import ServerClose
-from applehub.node.send_queue import discard_on_close, unacknowledged_bytes, unsent_bytes
+from applehub.node.send_queue import SocketLike, discard_on_close, unacknowledged_bytes, unsent_bytes
 from applehub.node.stream import CHUNK_SIZE, SharedBufferProtocol
 from applehub.node.unread import UnreadInput
 
@@ -209,16 +209,18 @@
     @property
     def sending(self) -> bool:
         """Whether a part of the request has not left this machine, so that the server cannot have started."""
-        if self.unsent or self.transport is None:
-            return True
-        return unsent_bytes(self.transport.get_extra_info("socket")) > 0
+        return self._has_queued(unsent_bytes)
 
     @property
     def undelivered(self) -> bool:
         """Whether the server has not yet acknowledged the complete request."""
+        return self._has_queued(unacknowledged_bytes)
+
+    def _has_queued(self, count: Callable[[SocketLike], int]) -> bool:
+        """Returns whether a part of the request is unwritten or, by a count of the send queue, in it."""
         if self.unsent or self.transport is None:
             return True
-        return unacknowledged_bytes(self.transport.get_extra_info("socket")) > 0
+        return count(self.transport.get_extra_info("socket")) > 0
 
     @property
     def has_unread_response(self) -> bool:
