Leave the tests of a process that stands still enough time on a busy machine

Need: their margins to the limits were 0.05 to 0.1 s of real time, which a busy machine can use up; the limits themselves are those of the program and stay. They run alone, as other tests in real time do.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -63,6 +63,9 @@
     "test_routers_apply_lists_on_the_real_clock",
     "test_all_read_requests_are_answered_before_sigkill_while_servers_hang",
     "test_rules_hold_while_servers_stop_within_answers",
+    "test_answer_that_has_begun_is_not_cut_off_at_latency_objective",
+    "test_response_that_begins_while_process_stands_still_is_awaited",
+    "test_command_whose_rest_comes_while_process_stands_still_is_answered",
 )
 # Tolerates examples that are slow because the machine is busy, but not examples that hang.
 hypothesis.settings.register_profile("any machine", deadline=datetime.timedelta(seconds=10))
