Keep the soak's pauses below the time of a stopped server, and share two rules of the tests

The pause is 2.3 s at most, as its docstring meant. The time until which something of a response must have come stood in three tests, and the start of a server with a small receive buffer in two; each stands once now. No assertion is changed; no code of the program is touched.

--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -1,5 +1,6 @@
 """Request classes with the settings of real deployments."""
 
+import math
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -38,6 +39,12 @@
     return {"valdivieso-catalogo": CATALOGUE, **{name: site["class"] for name, site in files.items()}}
 
 
+def silence_limit(site_class: dict[str, Any], is_origin_read: bool = False) -> float:
+    """Returns the seconds within which something of a response must have come, infinite if it may be late."""
+    may_be_late = site_class["late_worth"] or site_class["effect"] == "unsafe" or is_origin_read
+    return math.inf if may_be_late else float(site_class["aim_ms"]) / 1000
+
+
 def class_settings(site_class: dict[str, Any]) -> dict[str, Any]:
     """Converts a request class of a deployment to the form of the router's settings."""
     settings = {
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from deployments import deployments, settings_of
+from deployments import deployments, settings_of, silence_limit
 from router_bench import MISS, Cache, Caller, Json, entry, hit, http
 from soak_servers import Slowness, SlowOrigin, SoundAnswer, draw_slowness
 from test_descriptors import connect_client, running_program
@@ -83,9 +83,7 @@
     @property
     def objective(self) -> float:
         """The seconds within which something of the response must have come."""
-        is_origin_read = self.framing is not None and self.framing.from_origin
-        may_be_late = self.site_class["late_worth"] or self.site_class["effect"] == "unsafe" or is_origin_read
-        return math.inf if may_be_late else float(self.site_class["aim_ms"]) / 1000
+        return silence_limit(self.site_class, self.framing is not None and self.framing.from_origin)
 
     def is_owed(self, answer: SoundAnswer) -> bool:
         """Returns whether a sound server's answer was cut off before its time, and before its client left."""
--- a/tests/soak_servers.py
+++ b/tests/soak_servers.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from router_bench import Json, Web
+from router_bench import Json, Web, start_server_with_small_buffer
 
+MAX_PAUSE = 2.3  # seconds; a server that rests for 2.5 s within a value counts as stopped
 LIMIT_MARGIN = 0.1  # seconds around a time limit, from which pauses are drawn
 HOLD_LIMITS = (0.4, 1.5)  # seconds; of the network code, for values that are held back
 RECEIVE_BUFFER = 65_536  # bytes of SO_RCVBUF at the origin
@@ -22,7 +23,7 @@
 class Slowness:
     """How a sound server gives the rest of its response: after a pause, in pieces over some time.
 
-    Times are in seconds. The sum is below the time after which a server counts as stopped.
+    Times are in seconds. The pause is below the 2.5 s after which a server counts as stopped.
     """
 
     pause: float
@@ -36,7 +37,7 @@
     near_limit = max(0.0, limit + source.uniform(-LIMIT_MARGIN, LIMIT_MARGIN))
     pause = source.choice([0.0, source.uniform(0, 0.6), near_limit, near_limit])
     duration = source.choice([0.0, 0.1, 0.3, 1.5])
-    return Slowness(pause, duration, 1 if not duration else source.choice([3, 10, 30]))
+    return Slowness(min(pause, MAX_PAUSE), duration, 1 if not duration else source.choice([3, 10, 30]))
 
 
 class SoundAnswer:
@@ -89,11 +90,9 @@
         self.read_time_of = read_time_of
 
     async def start(self) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind(("127.0.0.1", 0))
-        self.server = await asyncio.start_server(self._serve_without_delay, sock=sock, limit=READ_SIZE)
-        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server, self.address = await start_server_with_small_buffer(
+            self._serve_without_delay, RECEIVE_BUFFER, READ_SIZE
+        )
 
     async def _serve_without_delay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_changes_within_answers.py
+++ b/tests/test_changes_within_answers.py
@@ -18,7 +18,7 @@
 KILL_AFTER = 3.2  # seconds from SIGTERM to SIGKILL
 
 
-def tell(**fields: object) -> Callable[[Bench, Framing], None]:
+def list_change(**fields: object) -> Callable[[Bench, Framing], None]:
     """Returns a change of the list entry of the server that answers."""
 
     def change(bench: Bench, framing: Framing) -> None:
@@ -43,9 +43,9 @@
 
 
 CHANGES: dict[str, Callable[[Bench, Framing], None]] = {
-    "its server drains": tell(state="Terminating"),
-    "its server is gone": tell(state="Gone"),
-    "its server has another endpoint": tell(endpoint="127.0.0.1:1"),
+    "its server drains": list_change(state="Terminating"),
+    "its server is gone": list_change(state="Gone"),
+    "its server has another endpoint": list_change(endpoint="127.0.0.1:1"),
     "an operator takes its server out": lambda bench, framing: bench.driver.notify(
         api.ServerOverride("o" if framing.from_origin else "c0", True, 0)
     ),
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 import pytest
-from deployments import CATALOGUE, deployments, settings_of
+from deployments import CATALOGUE, deployments, settings_of, silence_limit
 from router_bench import MISS, Bench, Caller, Json, Peer, hit, http, router
 from test_request_time import FRAMINGS, LATE_LIMIT, STOPPED_PEER_LIMIT, Framing, State, check_rest, reset
 from virtual_time import run_in_virtual_time
@@ -71,9 +71,7 @@
 
     @property
     def objective(self) -> float:
-        is_origin_read = self.framing.from_origin and not self.is_write
-        may_be_late = self.site_class["late_worth"] or self.site_class["effect"] == "unsafe" or is_origin_read
-        return math.inf if may_be_late else self.site_class["aim_ms"] / 1000
+        return silence_limit(self.site_class, self.framing.from_origin and not self.is_write)
 
     @property
     def info(self) -> bytes:
--- a/tests/test_slow_reading_servers.py
+++ b/tests/test_slow_reading_servers.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from deployments import deployments, settings_of
+from deployments import deployments, settings_of, silence_limit
 from router_bench import Bench, Cache, Json, Web, entry, hit, http, router, start_server_with_small_buffer
 from test_discovery import listing
 from test_request_time import LATE_LIMIT, RECEIVE_BUFFER, SCHEDULING, STOPPED_PEER_LIMIT, check_rest, reset
@@ -153,14 +153,12 @@
         in_time = origin.read_time < wait - SCHEDULING
     else:
         in_time = origin.read_time + answering.seconds < wait - SCHEDULING
-    may_be_late = site_class["late_worth"] or site_class["effect"] == "unsafe"
-    begun = answering in (Answering.HEAD_EARLY, Answering.PART_EARLY)
-    begun = begun or origin.read_time < site_class["aim_ms"] / 1000 - SCHEDULING
-    return bool(in_time and (may_be_late or begun))
+    begins_early = answering in (Answering.HEAD_EARLY, Answering.PART_EARLY)
+    return in_time and (begins_early or origin.read_time < silence_limit(site_class) - SCHEDULING)
 
 
-def tell(bench: Bench, origin: SlowServer, event: Event) -> None:
-    """Tells the router of an event by a list."""
+def notify(bench: Bench, origin: SlowServer, event: Event) -> None:
+    """Notifies the router of an event by a list."""
     states = {Event.DRAINING: "Terminating", Event.GONE: "Gone"}
     if event not in (Event.NONE, Event.RESET):
         boot_ms = time.time_ns() // 1_000_000 if event is Event.RESTARTED else 0
@@ -197,7 +195,7 @@
         async with router_before(origin, site_class) as bench:
             caller, loop = await bench.caller(), asyncio.get_running_loop()
             info = b"c=%b,d=%d,k=1" % (site_class["name"].encode(), round(wait * 1000))
-            loop.call_later(EVENT_AT, tell, bench, origin, event)
+            loop.call_later(EVENT_AT, notify, bench, origin, event)
             started = loop.time()
             caller.writer.write(command(b"C.SET", b"k", b"w1", info, bytes(SIZE)))
             answer = await caller.answer()
